--- /dev/null
+++ b/src/daemon/fleet.ts
@@ -0,0 +1,191 @@
+/** Exchanges heartbeats and digests with other hosts, a few at a time. */
+import * as freshness from "../core/freshness.js";
+import * as memberships from "../core/membership.js";
+import * as rendezvous from "../core/rendezvous.js";
+import * as messages from "../ports/messages.js";
+import type * as network from "../ports/network.js";
+import type * as runtime from "../ports/runtime.js";
+
+/** What a host adds to its digest. */
+export interface Knowledge {
+    readonly configurationRevision: number;
+    readonly groupsRevision: number;
+    readonly freshMs: number | undefined;
+    readonly storeUp: boolean | undefined;
+}
+
+/** Settings of the fleet. */
+export interface Options {
+    readonly self: memberships.Member;
+    readonly seeds: readonly string[];
+    readonly network: network.Network;
+    readonly platform: network.Channel;
+    readonly clock: runtime.Clock;
+    readonly log: runtime.Log;
+    readonly heartbeatMs: number;
+    readonly deadMs: number;
+    /** A number in [0, 1), for the choice of peers. */
+    random(): number;
+    knowledge(): Knowledge;
+    /** Told what another host knows, and when it was asked. */
+    learned(digest: messages.Digest, askedMs: number): void;
+}
+
+/** The other hosts, as this one sees them. */
+export interface Fleet {
+    /** Hosts that take new work, this one included unless it leaves. */
+    live(): readonly memberships.Member[];
+    /** Every host heard of lately. */
+    known(): readonly memberships.Member[];
+    find(id: string): memberships.Member | undefined;
+    self(): memberships.Member;
+    suspect(id: string): void;
+    /** The home of a key among the live hosts of a region, or of all regions when it has none. */
+    home(key: string, region: string): memberships.Member | undefined;
+    channel(member: memberships.Member): network.Channel;
+    witnesses(): readonly freshness.Witness[];
+    describe(change: Partial<Pick<memberships.Member, "leaving" | "slots">>): void;
+    /** Answers another host's digest. */
+    answer(digest: messages.Digest): messages.Digest;
+    /** Exchanges at once, to spread news. */
+    kick(): Promise<void>;
+    start(): void;
+    close(): void;
+}
+
+const fanOut = 3;
+const exchangeTimeoutMs = 800;
+const listTimeoutMs = 1_000;
+const maxMembers = 64;
+
+/** Creates the fleet of one host; it exchanges nothing until started. */
+export function createFleet(options: Options): Fleet {
+    const { clock, log } = options;
+    const membership = memberships.createMembership({ self: options.self, timeoutMs: options.deadMs });
+    const words = new Map<string, { readonly storeUp: boolean | undefined; readonly heardMs: number }>();
+    let homes = new Map<string, memberships.Member | undefined>();
+    let homesKey = "";
+    let stop: (() => void) | undefined;
+
+    function digest(): messages.Digest {
+        const members = [...membership.known()];
+        const shown = members.length > maxMembers
+            ? [members[0] ?? options.self, ...sample(members.slice(1), maxMembers - 1)]
+            : members;
+        return { members: shown, ...options.knowledge() };
+    }
+
+    function sample<T>(items: readonly T[], count: number): readonly T[] {
+        const left = [...items];
+        const chosen: T[] = [];
+        while (left.length > 0 && chosen.length < count) {
+            chosen.push(...left.splice(Math.floor(options.random() * left.length), 1));
+        }
+        return chosen;
+    }
+
+    function learn(received: messages.Digest, askedMs: number): void {
+        const nowMs = clock.now();
+        membership.merge(received.members, nowMs);
+        const sender = received.members[0];
+        if (sender !== undefined) {
+            words.set(sender.id, { storeUp: received.storeUp, heardMs: nowMs });
+        }
+        options.learned(received, askedMs);
+    }
+
+    async function exchange(address: string, id: string | undefined): Promise<void> {
+        const askedMs = clock.now();
+        const reply = await options.network.channel(address).call(messages.peer.exchange, digest(), exchangeTimeoutMs);
+        if (reply.isOk()) {
+            learn(reply.value, askedMs);
+        }
+        else if (id !== undefined && clock.now() - askedMs < exchangeTimeoutMs / 2) {
+            membership.suspect(id);
+        }
+    }
+
+    /** Addresses to try while no other host is known. */
+    async function discover(): Promise<readonly string[]> {
+        const listed = await options.platform.call(messages.platform.hosts, {}, listTimeoutMs);
+        const hosts = listed.isOk() ? listed.value.hosts.map(host => host.address) : [];
+        return [...new Set([...options.seeds, ...hosts])].filter(address => address !== options.self.address);
+    }
+
+    async function round(): Promise<void> {
+        membership.beat();
+        const others = membership.known().filter(member => member.id !== options.self.id);
+        const alive = membership.live(clock.now()).filter(member => member.id !== options.self.id);
+        const asked = sample(alive, fanOut).map(member => exchange(member.address, member.id));
+        const dead = sample(others.filter(member => !alive.includes(member)), 1);
+        asked.push(...dead.map(member => exchange(member.address, undefined)));
+        if (alive.length === 0) {
+            const addresses = sample(await discover(), fanOut);
+            asked.push(...addresses.map(address => exchange(address, undefined)));
+        }
+        await Promise.all(asked);
+    }
+
+    function live(): readonly memberships.Member[] {
+        return membership.live(clock.now()).filter(member => !member.leaving);
+    }
+
+    function self(): memberships.Member {
+        return membership.find(options.self.id) ?? options.self;
+    }
+
+    return {
+        live,
+        self,
+        known: () => membership.known(),
+        find: id => membership.find(id),
+        suspect(id) {
+            log.info({ peer: id, reason: "refused a connection" }, "Host suspected.");
+            membership.suspect(id);
+        },
+        home(key, region) {
+            const members = live();
+            const view = members.map(member => member.id).join(",");
+            if (view !== homesKey) {
+                homesKey = view;
+                homes = new Map();
+            }
+            const name = `${region}/${key}`;
+            if (!homes.has(name)) {
+                const near = members.filter(member => member.region === region);
+                const eligible = near.length > 0 ? near : members;
+                const chosen = rendezvous.pick(name, eligible.map(member => member.id));
+                homes.set(name, eligible.find(member => member.id === chosen));
+                log.info(
+                    { key, region, home: chosen, members: view, reason: "rendezvous over live hosts" },
+                    "Home placed.",
+                );
+            }
+            return homes.get(name);
+        },
+        channel: member => options.network.channel(member.address),
+        witnesses() {
+            const limitMs = clock.now() - options.deadMs;
+            const heard = [...words].filter(([, word]) => word.heardMs > limitMs);
+            const own = { host: options.self.id, storeUp: options.knowledge().storeUp };
+            return [own, ...heard.map(([host, word]) => ({ host, storeUp: word.storeUp }))];
+        },
+        describe(change) {
+            membership.describe(change);
+        },
+        answer(received) {
+            learn({ ...received, freshMs: undefined }, clock.now());
+            return digest();
+        },
+        async kick() {
+            await round();
+        },
+        start() {
+            void round();
+            stop = clock.every(options.heartbeatMs, () => void round());
+        },
+        close() {
+            stop?.();
+        },
+    };
+}
