--- a/src/adapters/mysqlserver.ts
+++ b/src/adapters/mysqlserver.ts
@@ -50,7 +50,9 @@
     readonly port: number;
     /** Stops accepting; open connections stay. */
     stop(): void;
-    /** Ends every connection. */
+    /** Tells idle callers why, and ends every connection; what arrives after is not run. */
+    retire(refusal: Refusal): void;
+    /** Ends every connection at once. */
     close(): void;
 }
 
@@ -163,10 +165,22 @@
     finish(wire);
 }
 
-function serveQueries(wire: Wire, session: Session): void {
+/** The statements of one connection. */
+interface Turns {
+    /** Ends the connection; a caller without a statement running is told why. */
+    retire(refusal: Refusal): void;
+}
+
+function serveQueries(wire: Wire, session: Session): Turns {
     let turn: Promise<void> = Promise.resolve();
+    let waiting = 0;
+    let retired = false;
     const answer = async (text: string): Promise<void> => {
+        if (retired) {
+            return;
+        }
         const result = await session.query(text);
+        waiting -= 1;
         if (wire.stream.destroyed) {
             return;
         }
@@ -181,6 +195,7 @@
         wire.stream.uncork();
     };
     const enqueue = (text: string): void => {
+        waiting += 1;
         turn = turn.then(() => answer(text));
     };
     const settle = (): void => {
@@ -210,11 +225,23 @@
             refuse(wire, { errno: unknownCommandErrno, message: `Command ${command} is not supported.` });
         }
     });
+    return {
+        retire(refusal) {
+            if (waiting > 0) {
+                wire.stream.destroy();
+                return;
+            }
+            retired = true;
+            wire.sequenceId = 1;
+            refuse(wire, refusal);
+            wire.stream.end();
+        },
+    };
 }
 
 /** Listens for callers; port 0 takes any free port. */
 export async function listen(options: Options): Promise<Listener> {
-    const open = new Set<Wire>();
+    const open = new Map<Wire, Turns | undefined>();
     const factory = mysql.createServer as unknown as () => ReturnType<typeof mysql.createServer>;
     const server = factory();
     let connectionId = 0;
@@ -222,7 +249,7 @@
     function welcome(wire: Wire): void {
         connectionId += 1;
         let session: Session | undefined;
-        open.add(wire);
+        open.set(wire, undefined);
         wire.stream.setNoDelay(true);
         wire.stream.on("close", () => {
             open.delete(wire);
@@ -248,7 +275,7 @@
                 session.ended();
                 return;
             }
-            serveQueries(wire, session);
+            open.set(wire, serveQueries(wire, session));
             decide(undefined);
             finish(wire);
         };
@@ -274,9 +301,20 @@
         stop() {
             raw.close();
         },
+        retire(refusal) {
+            raw.close();
+            open.forEach((turns, wire) => {
+                if (turns === undefined) {
+                    wire.stream.destroy();
+                }
+                else {
+                    turns.retire(refusal);
+                }
+            });
+        },
         close() {
             raw.close();
-            open.forEach(wire => wire.stream.destroy());
+            open.forEach((_turns, wire) => wire.stream.destroy());
         },
     };
 }
--- a/src/core/failover.ts
+++ b/src/core/failover.ts
@@ -19,6 +19,8 @@
     readonly primary: string | undefined;
     readonly reports: readonly quorum.Report[];
     readonly size: number;
+    /** The primary is leaving and is to be replaced as planned. */
+    readonly leaving: boolean;
     /** A write has run at the primary and no majority holds it yet. */
     readonly waiting: boolean;
 }
@@ -77,7 +79,7 @@
             const silent = look.nowMs - heardMs >= options.silenceMs;
             const stalled = look.nowMs - replicatedMs >= options.silenceMs;
             const rested = look.nowMs - attemptMs >= options.attemptGapMs;
-            if ((!silent && !stalled) || !rested || !majorityAnswers(look)) {
+            if ((!silent && !stalled && !look.leaving) || !rested || !majorityAnswers(look)) {
                 return false;
             }
             attemptMs = look.nowMs;
@@ -95,14 +97,16 @@
 
 /**
  * The endpoint to promote among those that promised the new term: the one with the most complete log,
- * so that no acknowledged write is lost. Undefined without a majority of promises.
+ * so that no acknowledged write is lost. Endpoints that leave are passed over while the others are a
+ * majority by themselves. Undefined without a majority of promises.
  */
 export function choose(promises: readonly Promise[], size: number): string | undefined {
-    if (promises.length < Math.floor(size / 2) + 1) {
+    const majority = Math.floor(size / 2) + 1;
+    const staying = promises.filter(promise => !promise.leaving);
+    const eligible = staying.length >= majority ? staying : promises;
+    if (eligible.length < majority) {
         return undefined;
     }
-    const sorted = [...promises].sort((left, right) =>
-        positions.compare(right.received, left.received) || Number(left.leaving) - Number(right.leaving)
-    );
+    const sorted = [...eligible].sort((left, right) => positions.compare(right.received, left.received));
     return sorted[0]?.endpoint;
 }
--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -1,46 +1,69 @@
 /**
- * Whether this host's configuration may still be relied on. A withdrawn key must stop within seconds, so a
- * host that can't tell whether its configuration is the newest refuses work, unless the store is down for all.
+ * Whether what this host knows from the store may still be relied on. A withdrawn key must stop within
+ * seconds, so a host that can't tell whether it knows the newest state refuses work, unless the store is
+ * down for everyone.
  */
+import * as z from "zod";
+
+/** Schema of a word on the wire. */
+export const schema = z.object({
+    failureDomain: z.string(),
+    region: z.string(),
+    /** Time since a host of the failure domain last reached the store, in milliseconds. */
+    upMs: z.number().optional(),
+    /** Time since a host of the failure domain last failed to reach it, in milliseconds. */
+    downMs: z.number().optional(),
+}).readonly();
+
+/** What the hosts of one failure domain say of the store. */
+export type Word = z.infer<typeof schema>;
 
 /** What the decision rests on. */
 export interface Evidence {
-    /** Age of the newest proof that the configuration is the newest, in milliseconds. */
+    /** Age of the newest proof that this host knows the newest state, in milliseconds. */
     readonly freshMs: number;
     /** Age at which a proof no longer counts, in milliseconds. */
     readonly limitMs: number;
-    /** Reports on the store from hosts heard of within the limit, this one included. */
-    readonly witnesses: readonly Witness[];
-    /** Hosts known in the store's region, this one included when it stands there. */
-    readonly storeRegionHosts: readonly string[];
-}
-
-/** One host's word on whether the store answers. */
-export interface Witness {
-    readonly host: string;
-    readonly storeUp: boolean | undefined;
+    /** A newer state is known to exist and is not here yet. */
+    readonly behind: boolean;
+    readonly words: readonly Word[];
+    /** Failure domains of the store's region. */
+    readonly storeDomains: readonly string[];
 }
 
 /** The verdict and its reason. */
 export interface Verdict {
     readonly serve: boolean;
-    readonly reason: "fresh" | "store outage" | "store reachable by others" | "cut off from the store's region";
+    readonly reason:
+        | "fresh"
+        | "behind"
+        | "store outage"
+        | "store reachable by others"
+        | "cut off from the store's region";
 }
 
+/** Share of the limit for which a word counts; below 1, so that an outage is believed before freshness ends. */
+const wordShare = 0.875;
+
 /**
- * Judges the evidence. A store outage is believed when no witness reaches the store and a majority of the
- * hosts in the store's region say so; otherwise this host may merely be cut off.
+ * Judges the evidence. An outage is believed when no failure domain reaches the store and each of those in
+ * the store's region says that it fails to; otherwise this host may merely be cut off.
  */
 export function judge(evidence: Evidence): Verdict {
-    if (evidence.freshMs <= evidence.limitMs) {
+    const wordMs = evidence.limitMs * wordShare;
+    if (!evidence.behind && evidence.freshMs <= evidence.limitMs) {
         return { serve: true, reason: "fresh" };
     }
-    if (evidence.witnesses.some(witness => witness.storeUp === true)) {
+    if (evidence.behind) {
+        return { serve: false, reason: "behind" };
+    }
+    if (evidence.words.some(word => (word.upMs ?? Infinity) <= wordMs)) {
         return { serve: false, reason: "store reachable by others" };
     }
-    const near = new Set(evidence.storeRegionHosts);
-    const agreeing = evidence.witnesses.filter(witness => near.has(witness.host) && witness.storeUp === false);
-    const outage = near.size > 0 && agreeing.length > near.size / 2;
+    const failing = new Set(
+        evidence.words.filter(word => (word.downMs ?? Infinity) <= wordMs).map(word => word.failureDomain),
+    );
+    const outage = evidence.storeDomains.length > 0 && evidence.storeDomains.every(domain => failing.has(domain));
     return outage
         ? { serve: true, reason: "store outage" }
         : { serve: false, reason: "cut off from the store's region" };
--- a/src/core/quota.ts
+++ b/src/core/quota.ts
@@ -1,7 +1,7 @@
 /**
  * Rate and burst of each organisation across the fleet.
  *
- * The rate is divided among a fixed number of slots; a host that holds a slot's lease accrues that
+ * The rate is divided among a fixed number of slots; the host that holds a slot accrues that
  * slot's share and lends tokens to other hosts. A loan is debited before it is sent, expires, and keeps
  * its place in the lender's capacity until then, so that the tokens in existence never exceed the burst,
  * whatever messages are lost and whatever the hosts believe about each other.
@@ -22,13 +22,14 @@
     /** Number of slots that accrue tokens for one organisation. */
     readonly banks: number;
     readonly loanMs: number;
+    /** True while this host may rely on the entitlements that it knows. */
+    entitled(): boolean;
 }
 
-/** The right to accrue for one slot, from one moment to another. */
+/** The right to accrue for one slot, from a moment on. */
 export interface Entitlement {
     readonly slot: number;
     readonly fromMs: number;
-    readonly untilMs: number;
 }
 
 /** Tokens held outside a bucket until an expiry. */
@@ -105,11 +106,11 @@
     /** Buckets that this host may use for the organisation now. */
     function open(organisation: string, nowMs: number): readonly Bucket[] {
         const limit = limits.get(organisation);
-        if (limit === undefined) {
+        if (limit === undefined || !options.entitled()) {
             return [];
         }
         return entitlements
-            .filter(right => nowMs < right.untilMs && banks(organisation).includes(right.slot))
+            .filter(right => banks(organisation).includes(right.slot))
             .map(right => fill(organisation, limit, right, nowMs));
     }
 
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -2,6 +2,7 @@
 import "reflect-metadata";
 import * as inversify from "inversify";
 import * as neverthrow from "neverthrow";
+import * as configstore from "../adapters/configstore.js";
 import * as grpc from "../adapters/grpc.js";
 import * as mysqlendpoint from "../adapters/mysqlendpoint.js";
 import * as adapters from "../adapters/runtime.js";
@@ -127,7 +128,9 @@
             ...base(),
             storeRegion: settings.platform.region,
             freshMs: settings.timing.freshMs,
+            slotsKey: tokensPart.slotsKey,
             fleet: () => get<fleets.Fleet>(id.fleet),
+            assigned: value => get<tokensPart.Tokens>(id.tokens).assign(value),
             changed(configuration) {
                 get<tokensPart.Tokens>(id.tokens).limit(configuration.document);
                 if (container.isBound(id.entry)) {
@@ -138,7 +141,15 @@
         })
     ).inSingletonScope();
     container.bind(id.tokens).toDynamicValue(() =>
-        tokensPart.createTokens({ ...base(), ...settings.quota, fleet: () => get<fleets.Fleet>(id.fleet) })
+        tokensPart.createTokens({
+            ...base(),
+            ...settings.quota,
+            freshMs: settings.timing.freshMs,
+            storeRegion: settings.platform.region,
+            register: get<feeds.Feed>(id.feed).slots,
+            judge: () => get<feeds.Feed>(id.feed).judgeSlots(),
+            fleet: () => get<fleets.Fleet>(id.fleet),
+        })
     ).inSingletonScope();
     container.bind(id.owner).toDynamicValue(() =>
         owners.createOwner({
@@ -173,8 +184,10 @@
         grpc.handle(messages.peer.exchange, request => accept(parts().fleet.answer(request))),
         grpc.handle(messages.peer.configuration, () => {
             const { revision, document } = parts().feed.configuration();
-            return accept({ revision, document: JSON.stringify(document) });
+            const stored = parts().feed.value(configstore.indexKey).revision;
+            return accept({ revision, stored, document: JSON.stringify(document) });
         }),
+        grpc.handle(messages.peer.value, request => accept(parts().feed.value(request.key))),
         grpc.handle(messages.peer.groups, () => accept(parts().feed.groups())),
         grpc.handle(messages.peer.execute, request => parts().owner.execute(request)),
         grpc.handle(messages.peer.begin, request => parts().owner.begin(request)),
@@ -335,7 +348,7 @@
     lifecycle.add({ name: "network", close: () => container.get<network.Network>(id.network).close() });
     lifecycle.add({ name: "fleet", start: () => parts().fleet.start(), close: () => parts().fleet.close() });
     lifecycle.add({ name: "feed", start: () => parts().feed.start(), close: () => parts().feed.close() });
-    lifecycle.add({ name: "tokens", start: () => parts().tokens.start(), drain: () => parts().tokens.release() });
+    lifecycle.add({ name: "tokens", start: () => parts().tokens.start(), close: () => parts().tokens.close() });
     lifecycle.add({ name: "owner", start: () => parts().owner.start(), close: () => parts().owner.close() });
     lifecycle.add({
         name: "callers",
--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -116,6 +116,10 @@
         }
     }
 
+    function isLeaving(id: string | undefined): boolean {
+        return progress.find(id ?? "")?.leaving === true || quorum.find(id ?? "")?.leaving === true;
+    }
+
     function look(): void {
         progress.wake();
         notePrimary();
@@ -125,6 +129,7 @@
             primary: progress.primary(),
             reports,
             size: progress.group().endpoints.length,
+            leaving: isLeaving(progress.primary()) && progress.reports().some(report => !isLeaving(report.endpoint)),
             waiting: unconfirmed > 0,
         });
         if (!due || promoting || !options.watching()) {
@@ -212,7 +217,7 @@
                 primary: entry.id === progress.primary(),
                 local: entry.region === options.region,
                 reachable: report !== undefined && nowMs - report.askedMs < reportAgeLimitMs,
-                leaving: entry.leaving || report?.leaving === true,
+                leaving: isLeaving(entry.id),
                 applied: report?.applied,
                 ageMs: quorum.ageMs(entry.id, nowMs),
                 load: poolsById.get(entry.id)?.load() ?? 0,
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -116,11 +116,11 @@
     const connections = new Set<Connection>();
     let draining = false;
 
+    const stopping = failure.create(failure.Code.draining, "host", "This host is stopping.", drainRetryMs);
+
     function mayServe(): Result<void> {
         if (draining) {
-            return neverthrow.err(
-                failure.create(failure.Code.draining, "host", "This host is stopping.", drainRetryMs),
-            );
+            return neverthrow.err(stopping);
         }
         const verdict = options.judge();
         if (verdict.serve) {
@@ -316,6 +316,10 @@
         busy: () => [...connections].filter(connection => connection.busy || connection.held !== undefined).length,
         callers: () => connections.size,
         close() {
+            if (draining) {
+                listener.retire(refuse(stopping));
+                return;
+            }
             listener.close();
         },
     };
--- a/src/daemon/feed.ts
+++ b/src/daemon/feed.ts
@@ -1,8 +1,7 @@
 /**
- * Configuration and database groups as this host knows them. Two hosts of each failure domain watch the
- * store; the others learn from them. Revisions only move forward.
+ * What this host knows from the platform: configuration, slot table and database groups. Two hosts of each
+ * failure domain watch the store; the others learn from them. Revisions only move forward.
  */
-import * as neverthrow from "neverthrow";
 import * as configstore from "../adapters/configstore.js";
 import * as configuration from "../core/configuration.js";
 import * as failure from "../core/failure.js";
@@ -13,12 +12,15 @@
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as fleets from "./fleet.js";
+import * as registers from "./register.js";
 
 /** Settings of a feed. */
 export interface Options {
     readonly self: memberships.Member;
     readonly platform: network.Channel;
     readonly storeRegion: string;
+    /** Key of the slot table. */
+    readonly slotsKey: string;
     readonly clock: runtime.Clock;
     readonly log: runtime.Log;
     readonly measures: runtime.Measures;
@@ -26,13 +28,18 @@
     fleet(): fleets.Fleet;
     /** Told of each configuration that comes into force. */
     changed(configuration: configuration.Configuration): void;
+    /** Told of each slot table. */
+    assigned(value: string | undefined): void;
     /** Told of groups that changed. */
     regrouped(groups: readonly messages.Group[]): void;
 }
 
-/** The newest configuration and groups. */
+/** The newest state of the platform, as far as it is known here. */
 export interface Feed {
     configuration(): configuration.Configuration;
+    readonly slots: registers.Register;
+    /** The value followed under a key. */
+    value(key: string): messages.Entry;
     group(database: string): messages.Group | undefined;
     groups(): messages.Groups;
     /** Takes a group that this host changed itself. */
@@ -41,6 +48,8 @@
     learned(digest: messages.Digest, askedMs: number): void;
     /** Whether statements may run on the configuration held. */
     judge(): freshness.Verdict;
+    /** Whether the slot table held may be relied on. */
+    judgeSlots(): freshness.Verdict;
     ready(): boolean;
     start(): void;
     close(): void;
@@ -51,18 +60,39 @@
 const pullTimeoutMs = 2_000;
 const retryMs = 200;
 const watchersPerDomain = 2;
-const storeWordMs = 5_000;
 
 /** Creates a feed that knows nothing. */
 export function createFeed(options: Options): Feed {
     const { clock, log, platform } = options;
     let current: configuration.Configuration = { revision: 0, document: configuration.empty };
     let groups: messages.Groups = { revision: 0, groups: [] };
-    let freshAtMs: number | undefined;
-    let store: { readonly up: boolean; readonly atMs: number } | undefined;
     let corruptRevision = 0;
     let closed = false;
-    let pulling = false;
+    let regrouping = false;
+
+    const common = {
+        platform,
+        clock,
+        watches,
+        channel: (member: memberships.Member) => options.fleet().channel(member),
+        noted: (up: boolean) => options.fleet().note(up),
+    };
+    const index = registers.createRegister({ ...common, key: configstore.indexKey, changed: reload });
+    const slots = registers.createRegister({
+        ...common,
+        key: options.slotsKey,
+        async changed(entry) {
+            options.assigned(entry.value);
+            return true;
+        },
+    });
+    const followed = [{ key: configstore.indexKey, register: index }, { key: options.slotsKey, register: slots }];
+
+    function watches(): boolean {
+        const peers = options.fleet().live().filter(member => member.failureDomain === options.self.failureDomain);
+        const order = rendezvous.order("watch", peers.map(member => member.id));
+        return order.slice(0, watchersPerDomain).includes(options.self.id) || order.length === 0;
+    }
 
     function force(next: configuration.Configuration, source: string): void {
         if (next.revision <= current.revision) {
@@ -75,79 +105,57 @@
         void options.fleet().kick();
     }
 
-    function regroup(next: messages.Groups): void {
-        if (next.revision <= groups.revision) {
-            return;
-        }
-        const merged = next.groups.map(group => {
-            const known = groups.groups.find(entry => entry.database === group.database);
-            return known !== undefined && known.term > group.term ? known : group;
-        });
-        groups = { revision: next.revision, groups: merged };
-        options.regrouped(merged);
+    function reload(entry: messages.Entry, source: memberships.Member | undefined): Promise<boolean> {
+        return source === undefined ? reloadFromStore(entry) : reloadFromPeer(entry, source);
     }
 
-    function watches(): boolean {
-        const peers = options.fleet().live().filter(member => member.failureDomain === options.self.failureDomain);
-        const order = rendezvous.order("watch", peers.map(member => member.id));
-        return order.slice(0, watchersPerDomain).includes(options.self.id) || order.length === 0;
-    }
-
-    function note(up: boolean, askedMs: number): void {
-        if (store?.up !== up) {
-            log.warn({ up }, up ? "The store answers." : "The store does not answer.");
+    async function reloadFromStore(entry: messages.Entry): Promise<boolean> {
+        const read = configstore.readIndex(entry.value);
+        if (read.isErr()) {
+            return alarm(read.error, entry.revision);
         }
-        store = { up, atMs: clock.now() };
-        if (up) {
-            freshAtMs = Math.max(freshAtMs ?? 0, askedMs);
+        const loaded = read.value.revision > current.revision
+            ? await configstore.load(platform, read.value)
+            : undefined;
+        if (loaded?.isErr() === true) {
+            return loaded.error.code === failure.Code.sectionCorrupt && alarm(loaded.error, entry.revision);
         }
+        if (loaded?.isOk() === true) {
+            force(loaded.value, "store");
+        }
+        return true;
     }
 
-    async function watchConfiguration(): Promise<void> {
-        const askedMs = clock.now();
-        const request = { key: configstore.indexKey, after: lastStored, waitMs: current.revision === 0 ? 0 : watchMs };
-        const reply = await platform.call(messages.platform.watch, request, watchTimeoutMs);
-        if (reply.isErr()) {
-            note(false, askedMs);
-            await clock.sleep(retryMs);
-            return;
-        }
-        const index = configstore.readIndex(reply.value.value);
-        const loaded = index.isErr() ? neverthrow.err(index.error) : await load(index.value);
-        if (loaded.isErr()) {
-            await alarm(loaded.error, reply.value.revision, askedMs);
-            return;
+    async function reloadFromPeer(entry: messages.Entry, source: memberships.Member): Promise<boolean> {
+        const reply = await options.fleet().channel(source).call(messages.peer.configuration, {}, pullTimeoutMs);
+        const checked = reply.isOk() ? configuration.check(JSON.parse(reply.value.document)) : undefined;
+        if (reply.isErr() || checked?.isOk() !== true || reply.value.stored < entry.revision) {
+            return false;
         }
-        lastStored = reply.value.revision;
-        note(true, askedMs);
+        force({ revision: reply.value.revision, document: checked.value }, source.id);
+        return true;
     }
 
-    let lastStored = 0;
-
-    async function load(index: configstore.Index): Promise<neverthrow.Result<void, failure.Failure>> {
-        if (index.revision <= current.revision) {
-            return neverthrow.ok(undefined);
+    /** A corrupt value leaves the last good revision in force. */
+    function alarm(cause: failure.Failure, stored: number): true {
+        if (corruptRevision !== stored) {
+            corruptRevision = stored;
+            const text = "The stored configuration is corrupt; the last good revision stays in force.";
+            log.error({ cause, revision: current.revision, alarm: true }, text);
         }
-        const loaded = await configstore.load(platform, index);
-        return loaded.map(next => force(next, "store"));
+        return true;
     }
 
-    /** A corrupt value leaves the last good revision in force; it is no proof of freshness lost. */
-    async function alarm(cause: failure.Failure, stored: number, askedMs: number): Promise<void> {
-        if (cause.code !== failure.Code.sectionCorrupt) {
-            note(false, askedMs);
-            await clock.sleep(retryMs);
+    function regroup(next: messages.Groups): void {
+        if (next.revision <= groups.revision) {
             return;
         }
-        if (corruptRevision !== stored) {
-            corruptRevision = stored;
-            log.error(
-                { cause, revision: current.revision, alarm: true },
-                "The stored configuration is corrupt; the last good revision stays in force.",
-            );
-        }
-        note(true, askedMs);
-        await clock.sleep(retryMs);
+        const merged = next.groups.map(group => {
+            const known = groups.groups.find(entry => entry.database === group.database);
+            return known !== undefined && known.term > group.term ? known : group;
+        });
+        groups = { revision: next.revision, groups: merged };
+        options.regrouped(merged);
     }
 
     async function watchGroups(): Promise<void> {
@@ -160,44 +168,34 @@
         regroup(reply.value);
     }
 
-    async function loop(step: () => Promise<void>): Promise<void> {
+    async function loop(): Promise<void> {
         while (!closed) {
-            if (watches()) {
-                await step();
-            }
-            else {
-                await clock.sleep(retryMs);
-            }
+            await (watches() ? watchGroups() : clock.sleep(retryMs));
         }
     }
 
-    async function pull(source: memberships.Member, digest: messages.Digest): Promise<void> {
-        const channel = options.fleet().channel(source);
-        if (digest.configurationRevision > current.revision) {
-            const reply = await channel.call(messages.peer.configuration, {}, pullTimeoutMs);
-            const checked = reply.isOk() ? configuration.check(JSON.parse(reply.value.document)) : undefined;
-            if (reply.isOk() && checked?.isOk() === true) {
-                force({ revision: reply.value.revision, document: checked.value }, source.id);
-            }
+    async function pullGroups(source: memberships.Member): Promise<void> {
+        const reply = await options.fleet().channel(source).call(messages.peer.groups, {}, pullTimeoutMs);
+        if (reply.isOk()) {
+            regroup(reply.value);
         }
-        if (digest.groupsRevision > groups.revision) {
-            const reply = await channel.call(messages.peer.groups, {}, pullTimeoutMs);
-            if (reply.isOk()) {
-                regroup(reply.value);
-            }
-        }
-    }
-
-    function freshMs(): number {
-        return freshAtMs === undefined ? Infinity : clock.now() - freshAtMs;
     }
 
-    function storeUp(): boolean | undefined {
-        return store === undefined || clock.now() - store.atMs > storeWordMs ? undefined : store.up;
+    function judge(register: registers.Register): freshness.Verdict {
+        const near = options.fleet().known().filter(member => member.region === options.storeRegion);
+        return freshness.judge({
+            freshMs: register.freshMs(),
+            limitMs: options.freshMs,
+            behind: register.behind(),
+            words: options.fleet().words(),
+            storeDomains: [...new Set(near.map(member => member.failureDomain))],
+        });
     }
 
     return {
+        slots,
         configuration: () => current,
+        value: key => followed.find(entry => entry.key === key)?.register.value() ?? { value: undefined, revision: 0 },
         group: database => groups.groups.find(entry => entry.database === database),
         groups: () => groups,
         adopt(group) {
@@ -209,43 +207,43 @@
             }
         },
         knowledge: () => ({
-            configurationRevision: current.revision,
             groupsRevision: groups.revision,
-            freshMs: Number.isFinite(freshMs()) ? freshMs() : undefined,
-            storeUp: storeUp(),
+            registers: followed.map(({ key, register }) => {
+                const freshMs = register.freshMs();
+                const { revision } = register.value();
+                return { key, revision, freshMs: Number.isFinite(freshMs) ? freshMs : undefined };
+            }),
         }),
         learned(digest, askedMs) {
             const source = digest.members[0];
             if (source === undefined) {
                 return;
             }
-            if (digest.freshMs !== undefined && digest.configurationRevision <= current.revision) {
-                freshAtMs = Math.max(freshAtMs ?? 0, askedMs - digest.freshMs);
+            for (const { key, register } of followed) {
+                const told = digest.registers.find(entry => entry.key === key);
+                if (told !== undefined) {
+                    register.learned(source, told.revision, told.freshMs, askedMs);
+                }
             }
-            const behind = digest.configurationRevision > current.revision || digest.groupsRevision > groups.revision;
-            if (behind && !pulling) {
-                pulling = true;
-                void pull(source, digest).finally(() => {
-                    pulling = false;
+            if (digest.groupsRevision > groups.revision && !regrouping) {
+                regrouping = true;
+                void pullGroups(source).finally(() => {
+                    regrouping = false;
                 });
             }
         },
-        judge() {
-            const near = options.fleet().known().filter(member => member.region === options.storeRegion);
-            return freshness.judge({
-                freshMs: freshMs(),
-                limitMs: options.freshMs,
-                witnesses: options.fleet().witnesses(),
-                storeRegionHosts: near.map(member => member.id),
-            });
-        },
+        judge: () => judge(index),
+        judgeSlots: () => judge(slots),
         ready: () => current.revision > 0 && groups.revision > 0,
         start() {
-            void loop(watchConfiguration);
-            void loop(watchGroups);
+            index.start();
+            slots.start();
+            void loop();
         },
         close() {
             closed = true;
+            index.close();
+            slots.close();
         },
     };
 }
--- a/src/daemon/fleet.ts
+++ b/src/daemon/fleet.ts
@@ -7,12 +7,7 @@
 import type * as runtime from "../ports/runtime.js";
 
 /** What a host adds to its digest. */
-export interface Knowledge {
-    readonly configurationRevision: number;
-    readonly groupsRevision: number;
-    readonly freshMs: number | undefined;
-    readonly storeUp: boolean | undefined;
-}
+export type Knowledge = Pick<messages.Digest, "groupsRevision" | "registers">;
 
 /** Settings of the fleet. */
 export interface Options {
@@ -43,7 +38,10 @@
     /** The home of a key among the live hosts of a region, or of all regions when it has none. */
     home(key: string, region: string): memberships.Member | undefined;
     channel(member: memberships.Member): network.Channel;
-    witnesses(): readonly freshness.Witness[];
+    /** Records whether the store answered this host. */
+    note(storeUp: boolean): void;
+    /** What is heard of the store, by failure domain. */
+    words(): readonly freshness.Word[];
     describe(change: Partial<Pick<memberships.Member, "leaving" | "slots">>): void;
     /** Answers another host's digest. */
     answer(digest: messages.Digest): messages.Digest;
@@ -58,11 +56,18 @@
 const listTimeoutMs = 1_000;
 const maxMembers = 64;
 
+/** When a failure domain last reached the store, and last failed to, on this host's clock. */
+interface Heard {
+    readonly region: string;
+    readonly upAtMs: number;
+    readonly downAtMs: number;
+}
+
 /** Creates the fleet of one host; it exchanges nothing until started. */
 export function createFleet(options: Options): Fleet {
     const { clock, log } = options;
     const membership = memberships.createMembership({ self: options.self, timeoutMs: options.deadMs });
-    const words = new Map<string, { readonly storeUp: boolean | undefined; readonly heardMs: number }>();
+    const words = new Map<string, Heard>();
     let homes = new Map<string, memberships.Member | undefined>();
     let homesKey = "";
     let stop: (() => void) | undefined;
@@ -72,7 +77,7 @@
         const shown = members.length > maxMembers
             ? [members[0] ?? options.self, ...sample(members.slice(1), maxMembers - 1)]
             : members;
-        return { members: shown, ...options.knowledge() };
+        return { members: shown, words: tell(), ...options.knowledge() };
     }
 
     function sample<T>(items: readonly T[], count: number): readonly T[] {
@@ -84,13 +89,30 @@
         return chosen;
     }
 
+    /** Keeps the newest word of each failure domain; ages count from when the sender was asked. */
+    function hear(word: freshness.Word, askedMs: number): void {
+        const known = words.get(word.failureDomain);
+        words.set(word.failureDomain, {
+            region: word.region,
+            upAtMs: Math.max(known?.upAtMs ?? -Infinity, askedMs - (word.upMs ?? Infinity)),
+            downAtMs: Math.max(known?.downAtMs ?? -Infinity, askedMs - (word.downMs ?? Infinity)),
+        });
+    }
+
+    function tell(): readonly freshness.Word[] {
+        const age = (atMs: number): number | undefined => (Number.isFinite(atMs) ? clock.now() - atMs : undefined);
+        return [...words].map(([failureDomain, heard]) => ({
+            failureDomain,
+            region: heard.region,
+            upMs: age(heard.upAtMs),
+            downMs: age(heard.downAtMs),
+        }));
+    }
+
     function learn(received: messages.Digest, askedMs: number): void {
         const nowMs = clock.now();
         membership.merge(received.members, nowMs);
-        const sender = received.members[0];
-        if (sender !== undefined) {
-            words.set(sender.id, { storeUp: received.storeUp, heardMs: nowMs });
-        }
+        received.words.forEach(word => hear(word, askedMs));
         options.learned(received, askedMs);
     }
 
@@ -164,17 +186,23 @@
             return homes.get(name);
         },
         channel: member => options.network.channel(member.address),
-        witnesses() {
-            const limitMs = clock.now() - options.deadMs;
-            const heard = [...words].filter(([, word]) => word.heardMs > limitMs);
-            const own = { host: options.self.id, storeUp: options.knowledge().storeUp };
-            return [own, ...heard.map(([host, word]) => ({ host, storeUp: word.storeUp }))];
+        words: tell,
+        note(storeUp) {
+            const { failureDomain, region } = options.self;
+            hear(
+                { failureDomain, region, upMs: storeUp ? 0 : undefined, downMs: storeUp ? undefined : 0 },
+                clock.now(),
+            );
         },
         describe(change) {
             membership.describe(change);
         },
         answer(received) {
-            learn({ ...received, freshMs: undefined }, clock.now());
+            learn({
+                ...received,
+                words: [],
+                registers: received.registers.map(entry => ({ ...entry, freshMs: undefined })),
+            }, clock.now());
             return digest();
         },
         async kick() {
--- a/src/daemon/promotion.ts
+++ b/src/daemon/promotion.ts
@@ -40,11 +40,12 @@
     const asked = [...options.trackers.values()].map(tracker => tracker.command(`FENCE GROUP TERM ${term}`));
     const answers = await Promise.all(asked);
     const reports = answers.flatMap(answer => (answer.isOk() ? [answer.value] : []));
-    return reports.filter(report => report.term === term).map(describe);
+    return reports.filter(report => report.term === term).map(report => describe(report, options.group));
 }
 
-function describe(report: quorum.Report): failover.Promise {
-    return { endpoint: report.endpoint, received: report.received, leaving: report.leaving };
+function describe(report: quorum.Report, group: messages.Group): failover.Promise {
+    const listed = group.endpoints.find(entry => entry.id === report.endpoint)?.leaving === true;
+    return { endpoint: report.endpoint, received: report.received, leaving: report.leaving || listed };
 }
 
 /** Runs one promotion; true when a new primary serves. */
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -29,7 +29,6 @@
         slots: z.number().int().min(1).max(10_000).default(9),
         banks: z.number().int().min(1).max(64).default(3),
         loanMs: z.number().min(50).max(10_000).default(500),
-        leaseMs: z.number().min(5_000).max(86_400_000).default(900_000),
     }).readonly().prefault({}),
     timing: z.strictObject({
         heartbeatMs: z.number().min(20).max(10_000).default(500),
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -2,13 +2,14 @@
 import * as neverthrow from "neverthrow";
 import type * as configuration from "../core/configuration.js";
 import * as failure from "../core/failure.js";
+import type * as freshness from "../core/freshness.js";
 import type * as memberships from "../core/membership.js";
 import * as quotas from "../core/quota.js";
-import * as rendezvous from "../core/rendezvous.js";
+import * as slots from "../core/slots.js";
 import * as messages from "../ports/messages.js";
-import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as fleets from "./fleet.js";
+import type * as registers from "./register.js";
 
 /** Settings of admission. */
 export interface Options {
@@ -16,8 +17,11 @@
     readonly slots: number;
     readonly banks: number;
     readonly loanMs: number;
-    readonly leaseMs: number;
-    readonly platform: network.Channel;
+    readonly freshMs: number;
+    readonly storeRegion: string;
+    readonly register: registers.Register;
+    /** Whether the slot table held may be relied on. */
+    judge(): freshness.Verdict;
     readonly clock: runtime.Clock;
     readonly log: runtime.Log;
     fleet(): fleets.Fleet;
@@ -31,14 +35,10 @@
     limit(document: configuration.Document): void;
     held(organisation: string): number;
     slots(): readonly number[];
+    /** Takes a newer slot table. */
+    assign(value: string | undefined): void;
     start(): void;
-    /** Gives the slots back, so that a successor need not wait for the lease to end. */
-    release(): Promise<void>;
-}
-
-/** A slot held, and when its lease was last renewed. */
-interface Claim extends quotas.Entitlement {
-    readonly renewedMs: number;
+    close(): void;
 }
 
 interface Demand {
@@ -47,112 +47,78 @@
     perMs: number;
 }
 
-const callTimeoutMs = 2_000;
 const lendTimeoutMs = 300;
-const reviewMs = 1_000;
-const renewalsPerLease = 6;
+const reviewMs = 500;
+/** Looks in a row that must agree before slots move. */
+const steadyLooks = 3;
+/** Added to the time that a former holder may go on, for clocks that drift. */
+const marginMs = 500;
 const rounds = 3;
 const prefetchMs = 20;
 const demandWindowMs = 100;
-const slotKey = (slot: number): string => `quota/slot/${slot}`;
+
+/** Key of the slot table in the store. */
+export const slotsKey = "quota/slots";
 
 /** Creates admission without a slot. */
 export function createTokens(options: Options): Tokens {
     const { clock, log, self } = options;
-    const quota = quotas.createQuota({ slots: options.slots, banks: options.banks, loanMs: options.loanMs });
+    const quota = quotas.createQuota({
+        slots: options.slots,
+        banks: options.banks,
+        loanMs: options.loanMs,
+        entitled: () => options.judge().serve,
+    });
     const borrowing = new Map<string, Promise<void>>();
     const emptyUntil = new Map<string, number>();
     const demands = new Map<string, Demand>();
-    let limits: ReadonlyMap<string, quotas.Limit> = new Map();
-    let claims: readonly Claim[] = [];
-    let released = false;
-
-    function publish(next: readonly Claim[]): void {
-        claims = next;
-        quota.hold(next);
-        options.fleet().describe({ slots: next.map(claim => claim.slot) });
-    }
-
-    /** Takes or renews a slot that is free, or held by an earlier process of this host, which has ended. */
-    async function take(slot: number): Promise<Claim | undefined> {
-        const found = await options.platform.call(messages.platform.read, { key: slotKey(slot) }, callTimeoutMs);
-        if (found.isErr() || (found.value.value !== undefined && found.value.value !== self.id)) {
-            return undefined;
+    let rights: readonly quotas.Entitlement[] = [];
+    let view = "";
+    let steady = 0;
+    let stop: (() => void) | undefined;
+
+    function parse(value: string | undefined): slots.Table {
+        if (value === undefined) {
+            return slots.empty;
         }
-        const askedMs = clock.now();
-        const request = {
-            key: slotKey(slot),
-            expected: found.value.revision,
-            value: self.id,
-            leaseMs: options.leaseMs,
-        };
-        const swap = await options.platform.call(messages.platform.swap, request, callTimeoutMs);
-        if (swap.isErr() || !swap.value.swapped) {
-            return undefined;
+        try {
+            const parsed = slots.schema.safeParse(JSON.parse(value));
+            return parsed.success ? parsed.data : slots.empty;
         }
-        const known = claims.find(claim => claim.slot === slot);
-        const fromMs = known?.fromMs ?? clock.now() + options.loanMs;
-        return { slot, fromMs, untilMs: askedMs + options.leaseMs, renewedMs: askedMs };
-    }
-
-    async function free(slot: number): Promise<void> {
-        const found = await options.platform.call(messages.platform.read, { key: slotKey(slot) }, callTimeoutMs);
-        if (found.isOk() && found.value.value === self.id) {
-            const request = { key: slotKey(slot), expected: found.value.revision, value: undefined };
-            await options.platform.call(messages.platform.swap, request, callTimeoutMs);
+        catch {
+            return slots.empty;
         }
     }
 
-    /** Slots this host should hold: an even share among the live hosts. */
-    function target(): number {
-        const hosts = options.fleet().live().map(member => member.id);
-        const rank = Math.max(0, hosts.indexOf(self.id));
-        return Math.floor(options.slots / hosts.length) + (rank < options.slots % hosts.length ? 1 : 0);
+    /** A former holder may go on until it learns of the change, and its loans end after that. */
+    function assign(value: string | undefined): void {
+        const holder = { host: self.id, incarnation: self.incarnation };
+        const startMs = clock.now() + options.freshMs + options.loanMs + marginMs;
+        rights = slots.held(parse(value), holder).map(({ slot, inherited }) => {
+            const known = rights.find(right => right.slot === slot);
+            return known ?? { slot, fromMs: inherited ? startMs : clock.now() };
+        });
+        quota.hold(rights);
+        options.fleet().describe({ slots: rights.map(right => right.slot) });
+        log.info({ slots: rights, reason: "slot table" }, "Quota slots held.");
     }
 
-    async function acquire(): Promise<void> {
-        const order = rendezvous.order(self.id, Array.from({ length: options.slots }, (_, slot) => String(slot)));
-        for (const slot of order.map(Number)) {
-            if (released || claims.length >= target()) {
-                return;
-            }
-            const held = claims.some(claim => claim.slot === slot) ? undefined : await take(slot);
-            if (held !== undefined && !released) {
-                publish([...claims, held]);
-                log.info({ slot, held: claims.length, reason: "below an even share" }, "Quota slot taken.");
-            }
-        }
-    }
-
-    async function renew(): Promise<void> {
-        for (const claim of claims) {
-            const due = clock.now() - claim.renewedMs >= options.leaseMs / renewalsPerLease;
-            const renewed = due && !released ? await take(claim.slot) : undefined;
-            if (renewed !== undefined && !released) {
-                publish(claims.map(known => (known.slot === claim.slot ? renewed : known)));
-            }
-        }
-    }
-
-    async function yieldOne(): Promise<void> {
-        const given = claims[claims.length - 1];
-        if (given === undefined || claims.length <= target()) {
+    /** On one host of the fleet: moves slots from processes that are gone, once the view is steady. */
+    async function review(): Promise<void> {
+        const fleet = options.fleet();
+        const live = fleet.live();
+        const seen = live.map(member => `${member.id}/${member.incarnation}`).join(",");
+        steady = seen === view ? steady + 1 : 0;
+        view = seen;
+        const home = fleet.home(slotsKey, options.storeRegion);
+        if (steady < steadyLooks || home?.id !== self.id || options.judge().reason !== "fresh") {
             return;
         }
-        publish(claims.slice(0, -1));
-        log.info({ slot: given.slot, held: claims.length, reason: "above an even share" }, "Quota slot given back.");
-        await clock.sleep(options.loanMs);
-        await free(given.slot);
-    }
-
-    async function keep(): Promise<void> {
-        while (!released) {
-            await renew();
-            if (claims.length < target()) {
-                await acquire();
-            }
-            await yieldOne();
-            await clock.sleep(reviewMs);
+        const holders = live.map(member => ({ host: member.id, incarnation: member.incarnation }));
+        const next = slots.plan(parse(options.register.value().value), holders, options.slots);
+        if (next !== undefined) {
+            const changed = await options.register.swap(JSON.stringify(next));
+            log.info({ changed, slots: next.slots, reason: "hosts came or went" }, "Quota slots placed.");
         }
     }
 
@@ -229,20 +195,16 @@
         },
         lend: (organisation, wanted) => quota.lend(organisation, wanted, clock.now()),
         limit(document) {
-            limits = new Map(Object.entries(document.organisations));
-            quota.limit(limits);
+            quota.limit(new Map(Object.entries(document.organisations)));
         },
         held: organisation => quota.held(organisation, clock.now()),
-        slots: () => claims.map(claim => claim.slot),
+        assign,
+        slots: () => rights.map(right => right.slot),
         start() {
-            void keep();
+            stop = clock.every(reviewMs, () => void review());
         },
-        async release() {
-            released = true;
-            const held = claims;
-            publish([]);
-            await clock.sleep(held.length === 0 ? 0 : options.loanMs);
-            await Promise.all(held.map(claim => free(claim.slot)));
+        close() {
+            stop?.();
         },
     };
 }
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the system's processes, and with the platform: each a schema and the type derived from it. */
 import * as z from "zod";
+import * as freshness from "../core/freshness.js";
 import * as membership from "../core/membership.js";
 import * as positions from "../core/position.js";
 
@@ -109,12 +110,17 @@
 /** What a host tells another about itself and what it knows. */
 const digest = z.object({
     members: z.array(membership.schema).readonly(),
-    configurationRevision: z.number(),
     groupsRevision: z.number(),
-    /** Age of the sender's proof that its configuration is the newest, in milliseconds. */
-    freshMs: z.number().optional(),
-    /** Whether the sender's last call to the store succeeded; undefined when it made none lately. */
-    storeUp: z.boolean().optional(),
+    /** Values of the store that the sender follows. */
+    registers: z.array(
+        z.object({
+            key: z.string(),
+            revision: z.number(),
+            /** Age of the sender's proof that its value is the newest, in milliseconds. */
+            freshMs: z.number().optional(),
+        }).readonly(),
+    ).readonly(),
+    words: z.array(freshness.schema).readonly(),
 }).readonly();
 /** What a host tells another about itself and what it knows. */
 export type Digest = z.infer<typeof digest>;
@@ -158,9 +164,15 @@
     configuration: method(
         "configuration",
         nothing,
-        z.object({ revision: z.number(), document: z.string() }).readonly(),
+        z.object({
+            revision: z.number(),
+            /** Revision of the index in the store that the document was read by. */
+            stored: z.number(),
+            document: z.string(),
+        }).readonly(),
     ),
     groups: method("groups", nothing, groups),
+    value: method("value", z.object({ key: z.string() }).readonly(), entry),
     execute: method("execute", execution, answer),
     begin: method("begin", boundary, z.object({ transaction: z.string() }).readonly()),
     commit: method("commit", boundary, answer),
--- a/standins/audit.ts
+++ b/standins/audit.ts
@@ -45,8 +45,8 @@
     let lost = 0;
     let doubled = 0;
     for (const group of groups) {
-        const held = await count(group, table);
         const promised = acknowledged.filter(entry => entry.database === group.database);
+        const held = promised.length === 0 ? new Map<string, number>() : await count(group, table);
         lost += promised.filter(entry => !held.has(entry.id)).length;
         doubled += [...held.values()].filter(number => number > 1).length;
     }
--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -212,8 +212,6 @@
             }
             const outcome = replica.database().run(sql);
             if (outcome.isOk()) {
-                records.push(sql);
-                records.splice(0, Math.max(0, records.length - maxRecords));
                 if (transaction === undefined) {
                     record([sql]);
                 }
@@ -253,6 +251,8 @@
             }
             gate.leave();
             await whileFrozen();
+            records.push(sql);
+            records.splice(0, Math.max(0, records.length - maxRecords));
             return execute(sql);
         }
 
