Hand quota slots over at planned stops; pass over hosts that do not answer this one

Cause: a rolling restart left every slot in its successor's waiting time; a cut between two hosts left each a live owner and lender in the other's view by hearsay, so calls hung until their timeouts. Change: a stopping host ends its loans and hands its slots over itself; calls that time out put the host aside for a while. A primary being replaced is passed over while the others are a majority.

--- a/src/core/failover.ts
+++ b/src/core/failover.ts
@@ -92,17 +92,18 @@
 export interface Promise {
     readonly endpoint: string;
     readonly received: positions.Position;
-    readonly leaving: boolean;
+    /** True when it leaves or is the primary being replaced. */
+    readonly passedOver: boolean;
 }
 
 /**
  * The endpoint to promote among those that promised the new term: the one with the most complete log,
- * so that no acknowledged write is lost. Endpoints that leave are passed over while the others are a
- * majority by themselves. Undefined without a majority of promises.
+ * so that no acknowledged write is lost. An endpoint that leaves, or is being replaced, is passed over while
+ * the others are a majority by themselves: a primary cut from its replicas has the longest log of all. Undefined without a majority of promises.
  */
 export function choose(promises: readonly Promise[], size: number): string | undefined {
     const majority = Math.floor(size / 2) + 1;
-    const staying = promises.filter(promise => !promise.leaving);
+    const staying = promises.filter(promise => !promise.passedOver);
     const eligible = staying.length >= majority ? staying : promises;
     if (eligible.length < majority) {
         return undefined;
--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -43,7 +43,7 @@
 }
 
 /** Share of the limit for which a word counts; below 1, so that an outage is believed before freshness ends. */
-const wordShare = 0.875;
+const wordShare = 0.625;
 
 /**
  * Judges the evidence. An outage is believed when no failure domain reaches the store and each of those in
--- a/src/core/slots.ts
+++ b/src/core/slots.ts
@@ -30,19 +30,32 @@
     return left.host === right.host && left.incarnation === right.incarnation;
 }
 
+/** Processes that a plan is made for. */
+export interface Fleet {
+    /** Processes that take slots. */
+    readonly live: readonly Holder[];
+    /** Processes that keep the slots they hold until they hand them over. */
+    readonly leaving: readonly Holder[];
+    /** A process that has stopped to use its slots; its successors need not wait. */
+    readonly stopped?: Holder;
+}
+
 /**
- * The table for the live processes: slots move only from those that are gone or hold more than an even
- * share. Undefined when nothing has to change.
+ * The table for a fleet: slots move only from processes that are gone or hold more than an even share.
+ * Undefined when nothing has to change.
  */
-export function plan(table: Table, live: readonly Holder[], count: number): Table | undefined {
-    if (live.length === 0) {
+export function plan(table: Table, fleet: Fleet, count: number): Table | undefined {
+    if (fleet.live.length === 0) {
         return undefined;
     }
-    const most = Math.ceil(count / live.length);
-    const loads = live.map(holder => ({ holder, load: 0 }));
+    const most = Math.ceil(count / fleet.live.length);
+    const loads = fleet.live.map(holder => ({ holder, load: 0 }));
     const kept = Array.from({ length: count }, (_, slot) => {
         const current = table.slots[slot];
         const load = current === undefined ? undefined : loads.find(entry => same(entry.holder, current));
+        if (current !== undefined && fleet.leaving.some(holder => same(holder, current))) {
+            return current;
+        }
         if (current === undefined || load === undefined || load.load >= most) {
             return undefined;
         }
@@ -53,9 +66,11 @@
         if (entry !== undefined) {
             return entry;
         }
+        const former = table.slots[slot];
+        const ended = former !== undefined && fleet.stopped !== undefined && same(former, fleet.stopped);
         const least = loads.reduce((best, next) => (next.load < best.load ? next : best));
         least.load += 1;
-        return { ...least.holder, inherited: table.slots[slot] !== undefined };
+        return { ...least.holder, inherited: former !== undefined && !ended };
     });
     const changed = slots.some((entry, slot) => entry !== table.slots[slot]);
     return changed ? { slots } : undefined;
--- a/src/daemon/dispatch.ts
+++ b/src/daemon/dispatch.ts
@@ -40,6 +40,7 @@
 
 const retryShare = 0.1;
 const retryReserve = 20;
+const maxRetries = 3;
 const pauseMs = 50;
 const graceMs = 100;
 const passing: ReadonlySet<failure.Code> = new Set<failure.Code>([
@@ -84,6 +85,9 @@
         if (reply.isErr() && reply.error.code === failure.Code.ownerUnreachable) {
             fleet.suspect(host.id);
         }
+        if (reply.isErr() && reply.error.code === failure.Code.peerUnreachable) {
+            fleet.avoid(host.id);
+        }
         return reply;
     }
 
@@ -124,7 +128,7 @@
         let next = execution;
         budget.request();
         requests += 1;
-        for (;;) {
+        for (let retries = 0;; retries += 1) {
             const outcome = await attempt(next);
             if (outcome.isOk()) {
                 return outcome;
@@ -132,7 +136,10 @@
             const cause = outcome.error;
             const leftMs = deadlineMs - clock.now() - pauseMs;
             const elsewhere = cause.code === failure.Code.notOwner && next.kind === "read" && next.onPrimary !== true;
-            if (!repeatable(cause, next) || leftMs <= pauseMs || (!elsewhere && !budget.retry())) {
+            if (
+                !repeatable(cause, next) || leftMs <= pauseMs || retries >= maxRetries
+                || (!elsewhere && !budget.retry())
+            ) {
                 return neverthrow.err(cause);
             }
             const { request, organisation } = execution;
--- a/src/daemon/fleet.ts
+++ b/src/daemon/fleet.ts
@@ -30,11 +30,17 @@
 export interface Fleet {
     /** Hosts that take new work, this one included unless it leaves. */
     live(): readonly memberships.Member[];
+    /** Hosts that answer, those that leave included. */
+    reachable(): readonly memberships.Member[];
     /** Every host heard of lately. */
     known(): readonly memberships.Member[];
     find(id: string): memberships.Member | undefined;
     self(): memberships.Member;
     suspect(id: string): void;
+    /** Passes over a host that did not answer this one, for a while; others may still reach it. */
+    avoid(id: string): void;
+    /** Hosts that answered this one lately. */
+    direct(): readonly memberships.Member[];
     /** The home of a key among the live hosts of a region, or of all regions when it has none. */
     home(key: string, region: string): memberships.Member | undefined;
     channel(member: memberships.Member): network.Channel;
@@ -55,6 +61,7 @@
 const exchangeTimeoutMs = 800;
 const listTimeoutMs = 1_000;
 const maxMembers = 64;
+const avoidMs = 3_000;
 
 /** When a failure domain last reached the store, and last failed to, on this host's clock. */
 interface Heard {
@@ -68,6 +75,7 @@
     const { clock, log } = options;
     const membership = memberships.createMembership({ self: options.self, timeoutMs: options.deadMs });
     const words = new Map<string, Heard>();
+    const avoided = new Map<string, number>();
     let homes = new Map<string, memberships.Member | undefined>();
     let homesKey = "";
     let stop: (() => void) | undefined;
@@ -116,6 +124,14 @@
         options.learned(received, askedMs);
     }
 
+    function avoid(id: string): void {
+        avoided.set(id, clock.now() + avoidMs);
+    }
+
+    function direct(): readonly memberships.Member[] {
+        return membership.live(clock.now()).filter(member => (avoided.get(member.id) ?? 0) <= clock.now());
+    }
+
     async function exchange(address: string, id: string | undefined): Promise<void> {
         const askedMs = clock.now();
         const reply = await options.network.channel(address).call(messages.peer.exchange, digest(), exchangeTimeoutMs);
@@ -125,6 +141,9 @@
         else if (id !== undefined && clock.now() - askedMs < exchangeTimeoutMs / 2) {
             membership.suspect(id);
         }
+        else if (id !== undefined) {
+            avoid(id);
+        }
     }
 
     /** Addresses to try while no other host is known. */
@@ -159,6 +178,9 @@
     return {
         live,
         self,
+        avoid,
+        direct,
+        reachable: () => membership.live(clock.now()),
         known: () => membership.known(),
         find: id => membership.find(id),
         suspect(id) {
@@ -166,7 +188,7 @@
             membership.suspect(id);
         },
         home(key, region) {
-            const members = live();
+            const members = direct().filter(member => !member.leaving);
             const view = members.map(member => member.id).join(",");
             if (view !== homesKey) {
                 homesKey = view;
--- a/src/daemon/promotion.ts
+++ b/src/daemon/promotion.ts
@@ -45,7 +45,8 @@
 
 function describe(report: quorum.Report, group: messages.Group): failover.Promise {
     const listed = group.endpoints.find(entry => entry.id === report.endpoint)?.leaving === true;
-    return { endpoint: report.endpoint, received: report.received, leaving: report.leaving || listed };
+    const passedOver = report.leaving || listed || report.endpoint === group.primary;
+    return { endpoint: report.endpoint, received: report.received, passedOver };
 }
 
 /** Runs one promotion; true when a new primary serves. */
--- a/src/daemon/register.ts
+++ b/src/daemon/register.ts
@@ -36,10 +36,9 @@
     close(): void;
 }
 
-const watchMs = 1_000;
-const watchTimeoutMs = 2_500;
+/** Probes overlap, so that a store that hangs is noticed as often as one that refuses. */
+const probeMs = 500;
 const callTimeoutMs = 2_000;
-const retryMs = 200;
 
 /** Creates a register without a value. */
 export function createRegister(options: Options): Register {
@@ -49,6 +48,7 @@
     let newest = 0;
     let pulling = false;
     let closed = false;
+    let stop: (() => void) | undefined;
 
     /** Takes a newer value; false when it can't be used yet. */
     async function take(entry: messages.Entry, source?: memberships.Member): Promise<boolean> {
@@ -67,20 +67,17 @@
         freshAtMs = Math.max(freshAtMs ?? -Infinity, atMs);
     }
 
-    async function watch(): Promise<void> {
+    async function probe(): Promise<void> {
         const askedMs = clock.now();
-        const request = { key, after: held.revision, waitMs: freshAtMs === undefined ? 0 : watchMs };
-        const reply = await platform.call(messages.platform.watch, request, watchTimeoutMs);
-        options.noted(reply.isOk());
-        if (reply.isErr()) {
-            await clock.sleep(retryMs);
+        const request = { key, after: held.revision, waitMs: 0 };
+        const reply = await platform.call(messages.platform.watch, request, callTimeoutMs);
+        if (closed) {
             return;
         }
-        if (await take(reply.value)) {
+        options.noted(reply.isOk());
+        if (reply.isOk() && await take(reply.value)) {
             prove(askedMs);
-            return;
         }
-        await clock.sleep(retryMs);
     }
 
     async function pull(source: memberships.Member): Promise<void> {
@@ -90,12 +87,6 @@
         }
     }
 
-    async function loop(): Promise<void> {
-        while (!closed) {
-            await (options.watches() ? watch() : clock.sleep(retryMs));
-        }
-    }
-
     return {
         value: () => held,
         freshMs: () => (freshAtMs === undefined ? Infinity : clock.now() - freshAtMs),
@@ -122,10 +113,17 @@
             return reply.isOk() && reply.value.swapped;
         },
         start() {
-            void loop();
+            const review = (): void => {
+                if (options.watches()) {
+                    void probe();
+                }
+            };
+            review();
+            stop = clock.every(probeMs, review);
         },
         close() {
             closed = true;
+            stop?.();
         },
     };
 }
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -38,6 +38,8 @@
     /** Takes a newer slot table. */
     assign(value: string | undefined): void;
     start(): void;
+    /** Stops to use the slots and hands them over, so that successors need not wait. */
+    release(): Promise<void>;
     close(): void;
 }
 
@@ -47,7 +49,7 @@
     perMs: number;
 }
 
-const lendTimeoutMs = 300;
+const lendTimeoutMs = 150;
 const reviewMs = 500;
 /** Looks in a row that must agree before slots move. */
 const steadyLooks = 3;
@@ -75,6 +77,7 @@
     let rights: readonly quotas.Entitlement[] = [];
     let view = "";
     let steady = 0;
+    let released = false;
     let stop: (() => void) | undefined;
 
     function parse(value: string | undefined): slots.Table {
@@ -92,7 +95,10 @@
 
     /** A former holder may go on until it learns of the change, and its loans end after that. */
     function assign(value: string | undefined): void {
-        const holder = { host: self.id, incarnation: self.incarnation };
+        if (released) {
+            return;
+        }
+        const holder = describe(self);
         const startMs = clock.now() + options.freshMs + options.loanMs + marginMs;
         rights = slots.held(parse(value), holder).map(({ slot, inherited }) => {
             const known = rights.find(right => right.slot === slot);
@@ -111,11 +117,23 @@
         steady = seen === view ? steady + 1 : 0;
         view = seen;
         const home = fleet.home(slotsKey, options.storeRegion);
-        if (steady < steadyLooks || home?.id !== self.id || options.judge().reason !== "fresh") {
+        if (released || steady < steadyLooks || home?.id !== self.id || options.judge().reason !== "fresh") {
             return;
         }
-        const holders = live.map(member => ({ host: member.id, incarnation: member.incarnation }));
-        const next = slots.plan(parse(options.register.value().value), holders, options.slots);
+        await place(undefined);
+    }
+
+    function describe(member: memberships.Member): slots.Holder {
+        return { host: member.id, incarnation: member.incarnation };
+    }
+
+    async function place(stopped: slots.Holder | undefined): Promise<void> {
+        const live = options.fleet().live().map(describe);
+        const leaving = options.fleet().reachable().filter(member => member.leaving && member.id !== stopped?.host).map(
+            describe,
+        );
+        const table = parse(options.register.value().value);
+        const next = slots.plan(table, { live, leaving, stopped }, options.slots);
         if (next !== undefined) {
             const changed = await options.register.swap(JSON.stringify(next));
             log.info({ changed, slots: next.slots, reason: "hosts came or went" }, "Quota slots placed.");
@@ -138,7 +156,7 @@
     /** Hosts that accrue for the organisation, those of this host's region first. */
     function lenders(organisation: string): readonly memberships.Member[] {
         const banks = quota.banks(organisation);
-        const others = options.fleet().known().filter(member =>
+        const others = options.fleet().direct().filter(member =>
             member.id !== self.id && member.slots.some(slot => banks.includes(slot))
         );
         return [...others].sort((left, right) =>
@@ -158,6 +176,9 @@
             if (loan.isOk() && loan.value.tokens > 0) {
                 quota.borrow(organisation, loan.value.tokens, askedMs);
             }
+            if (loan.isErr()) {
+                options.fleet().avoid(lender.id);
+            }
         }
     }
 
@@ -203,6 +224,16 @@
         start() {
             stop = clock.every(reviewMs, () => void review());
         },
+        async release() {
+            const held = rights.length;
+            released = true;
+            rights = [];
+            quota.hold([]);
+            if (held > 0) {
+                await clock.sleep(options.loanMs);
+                await place(describe(self));
+            }
+        },
         close() {
             stop?.();
         },
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -121,7 +121,8 @@
         }),
         handle(messages.platform.watch, async request => {
             await until(() => isDown || find(request.key).revision > request.after, request.waitMs);
-            return show(find(request.key));
+            const item = find(request.key);
+            return item.revision > request.after ? show(item) : { value: undefined, revision: item.revision };
         }),
         handle(messages.platform.groups, async request => {
             await until(() => isDown || groupsRevision > request.after, request.waitMs);
