Read a host's ports from a line of its own, whatever its log level

Cause: a fleet started with log level warn waited for a line that was never logged; its processes were left behind.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -10,6 +10,8 @@
 const runMs = 4_000;
 const warmMs = 1_000;
 const microseconds = 1_000;
+/** Length of a result code at the start of a message. */
+const codeLength = 6;
 const connectionCounts = [1, 64, 1_000] as const;
 const database = "orders";
 const places = [
@@ -53,20 +55,28 @@
         })));
     const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
     const startMs = performance.now();
-    let errors = 0;
+    const failures = new Map<string, number>();
     let done = 0;
     await Promise.all(connections.map(async connection => {
         while (performance.now() - startMs < warmMs + runMs) {
             const fromMs = performance.now();
-            const good = await connection.query("SELECT 1 AS one").then(() => true, () => false);
+            const failure = await connection.query("SELECT 1 AS one").then(
+                () => undefined,
+                (thrown: Error) => thrown.message,
+            );
+            if (failure !== undefined) {
+                failures.set(failure, (failures.get(failure) ?? 0) + 1);
+                await new Promise(resolve => setTimeout(resolve, 1));
+            }
             if (fromMs - startMs >= warmMs) {
                 histogram.recordValue(Math.max(1, Math.round((performance.now() - fromMs) * microseconds)));
-                done += 1;
-                errors += good ? 0 : 1;
+                done += failure === undefined ? 1 : 0;
             }
         }
     }));
     connections.forEach(connection => connection.destroy());
+    failures.forEach((count, message) => console.error(`${count} times: ${message}`));
+    const errors = [...failures.values()].reduce((sum, count) => sum + count, 0);
     return {
         perSecond: Math.round(done * 1_000 / runMs),
         p50Ms: histogram.getValueAtPercentile(50) / microseconds,
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -28,6 +28,13 @@
     readonly random?: () => number;
 }
 
+/** Ports that a running host listens on. */
+export interface Addresses {
+    readonly callers: number;
+    readonly peers: number;
+    readonly operations: number;
+}
+
 /** A host, assembled. */
 export interface Host {
     readonly id: string;
@@ -38,7 +45,7 @@
     close(): Promise<void>;
     callersPort(): number;
     peersPort(): number;
-    operationsPort(): number;
+    addresses(): Addresses;
     ready(): boolean;
     readonly parts: handlers.Parts;
 }
@@ -283,6 +290,11 @@
         },
     });
 
+    function addresses(): Addresses {
+        const callers = container.get<entries.Entry>(id.entry).port;
+        return { callers, peers: peers?.port ?? 0, operations: operations?.port ?? 0 };
+    }
+
     return {
         id: settings.id,
         get parts() {
@@ -290,17 +302,13 @@
         },
         async start() {
             await lifecycle.start();
-            const callers = container.get<entries.Entry>(id.entry).port;
-            log.info(
-                { callers, peers: peers?.port, operations: operations?.port, waiting: waiting() },
-                "Host started.",
-            );
+            log.info({ ...addresses(), waiting: waiting() }, "Host started.");
         },
+        addresses,
         stop: () => lifecycle.stop(),
         close: () => lifecycle.close(),
-        callersPort: () => container.get<entries.Entry>(id.entry).port,
-        peersPort: () => peers?.port ?? 0,
-        operationsPort: () => operations?.port ?? 0,
+        callersPort: () => addresses().callers,
+        peersPort: () => addresses().peers,
         ready: () => parts().feed.ready(),
     };
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -19,6 +19,8 @@
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
     await host.start();
+    // Whatever the log level, whoever started this process reads its ports from this line.
+    process.stdout.write(`${JSON.stringify({ started: host.addresses() })}\n`);
 }
 
 const command = citty.defineCommand({
