Open links only to endpoints that tell positions

Cause: on a link where the position query failed after the write of the same round trip, the error read as the write's. Change: a new link asks once. Conclusion: one round trip more for a new connection; none for a statement.

--- a/src/adapters/mysqlendpoint.ts
+++ b/src/adapters/mysqlendpoint.ts
@@ -3,7 +3,6 @@
 import * as neverthrow from "neverthrow";
 import type * as positions from "../core/position.js";
 import * as endpoint from "../ports/endpoint.js";
-import type * as messages from "../ports/messages.js";
 
 /** The account that hosts use at endpoints. */
 export interface Account {
@@ -114,6 +113,19 @@
     };
 }
 
+/**
+ * Opens only links whose endpoint tells positions: on a link where the position query could fail after the
+ * write of the same round trip, the error would read as the write's.
+ */
+async function probe(link: endpoint.Link, timeoutMs: number): endpoint.Outcome<endpoint.Link> {
+    const asked = await link.run(positionQuery, timeoutMs);
+    if (asked.isOk()) {
+        return neverthrow.ok(link);
+    }
+    link.close();
+    return neverthrow.err({ kind: "unsent", message: `The endpoint does not tell positions: ${asked.error.message}` });
+}
+
 /** Creates a dialer that logs in to endpoints with the hosts' own account. */
 export function createDialer(account: Account): endpoint.Dialer {
     return {
@@ -139,7 +151,7 @@
                 connection.connect(error => {
                     connection.removeListener("error", fail);
                     if (error === null) {
-                        resolve(neverthrow.ok(createLink(connection)));
+                        resolve(probe(createLink(connection), timeoutMs));
                         return;
                     }
                     connection.on("error", () => undefined);
@@ -149,8 +161,3 @@
         },
     };
 }
-
-/** The address of an endpoint, for messages. */
-export function print(target: messages.Endpoint): string {
-    return `${target.id} at ${target.host}:${target.port}`;
-}
