Answer what waits at a replaced primary at once; tell a slot given back from one kept

A statement in flight at the frozen primary waited for its own timeout of 5 s, long after the replacement. Ruled out: detection and promotion (writes of other callers went on after about 1 s; kill and cut use the same path). Change: when the primary changes, the links to the former one are closed and their statements end with 1201 at once; a closed link tells those that wait on it. With it: slot grants are numbered, so that a slot given away and back is not taken for one kept; a corrupt slot table counts as in use; lenders come from the table, not from hearsay.

--- a/scenarios/02-primaries.feature
+++ b/scenarios/02-primaries.feature
@@ -21,6 +21,15 @@
     And 2000 ms pass
     Then no acknowledged write is lost or doubled and no read was stale
 
+  Scenario: a write at a frozen primary is answered when the primary is replaced
+    Given 3 hosts for Roata
+    And a table on orders
+    And ana connects to host 0 as cluj on orders
+    When the primary of orders is frozen
+    And ana sends "INSERT INTO orders (id, organisation) VALUES ('waits', 'x')"
+    Then ana is refused with 1201
+    And ana waited at most 2500 ms
+
   Scenario: hosts that don't see each other promote at once
     Given 3 hosts for Roata
     And a load of roaming sessions
--- a/src/adapters/mysqlendpoint.ts
+++ b/src/adapters/mysqlendpoint.ts
@@ -48,10 +48,15 @@
 }
 
 function createLink(connection: mysql.Connection): endpoint.Link {
+    const pending = new Set<(fault: endpoint.Fault) => void>();
     let open = true;
+    /** Destroying a connection drops its queries without a word, so those that wait are told here. */
     const shut = (): void => {
         open = false;
         connection.destroy();
+        const waiting = [...pending];
+        pending.clear();
+        waiting.forEach(fail => fail({ kind: "unanswered", message: "The link was closed." }));
     };
     connection.on("error", shut);
     connection.on("end", shut);
@@ -63,20 +68,26 @@
         }
         return new Promise(resolve => {
             const timer = setTimeout(() => {
+                fail({ kind: "unanswered", message: `No answer came within ${timeoutMs} ms.` });
                 shut();
-                resolve(neverthrow.err({ kind: "unanswered", message: `No answer came within ${timeoutMs} ms.` }));
             }, timeoutMs);
-            connection.query({ sql, rowsAsArray: true, typeCast: text }, (error, rows, fields) => {
+            const settle = (outcome: neverthrow.Result<Raw, endpoint.Fault>): void => {
                 clearTimeout(timer);
+                pending.delete(fail);
+                resolve(outcome);
+            };
+            const fail = (fault: endpoint.Fault): void => settle(neverthrow.err(fault));
+            pending.add(fail);
+            connection.query({ sql, rowsAsArray: true, typeCast: text }, (error, rows, fields) => {
                 if (error === null) {
-                    resolve(neverthrow.ok([rows, fields]));
+                    settle(neverthrow.ok([rows, fields]));
                     return;
                 }
                 const fault = explain(error);
+                fail(fault);
                 if (fault.kind !== "refused") {
                     shut();
                 }
-                resolve(neverthrow.err(fault));
             });
         });
     }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -11,8 +11,6 @@
     incarnation: z.number(),
     heartbeat: z.number(),
     leaving: z.boolean(),
-    /** Quota slots that the host accrues for. */
-    slots: z.array(z.number()).readonly(),
 }).readonly();
 
 /** One host as it described itself. */
@@ -29,7 +27,7 @@
     /** Advances this host's own heartbeat. */
     beat(): Member;
     /** Changes this host's own description. */
-    describe(change: Partial<Pick<Member, "leaving" | "slots">>): void;
+    describe(change: Partial<Pick<Member, "leaving">>): void;
     /** Takes in what another host knows. */
     merge(members: readonly Member[], nowMs: number): void;
     /** Marks a host as not answering until its heartbeat advances. */
--- a/src/core/policy.test.ts
+++ b/src/core/policy.test.ts
@@ -98,6 +98,19 @@
         chai.expect(slots.plan(second, { live: [holder("b")], leaving: [] }, 4)).to.equal(undefined);
     });
 
+    it("tells a slot given away and back from one kept", () => {
+        const first = slots.plan(slots.empty, { live: [holder("a")], leaving: [] }, 1) ?? slots.empty;
+        const second = slots.plan(first, { live: [holder("b")], leaving: [] }, 1) ?? slots.empty;
+        const third = slots.plan(second, { live: [holder("a")], leaving: [] }, 1) ?? slots.empty;
+        chai.expect(slots.held(third, holder("a"))[0]?.grant).to.not.equal(slots.held(first, holder("a"))[0]?.grant);
+        chai.expect(slots.held(third, holder("a"))[0]?.inherited).to.equal(true);
+    });
+
+    it("takes every slot of a corrupt table for one in use", () => {
+        const next = slots.plan(slots.read("{broken", 2), { live: [holder("a")], leaving: [] }, 2) ?? slots.empty;
+        chai.expect(next.slots.map(entry => entry.inherited)).to.deep.equal([true, true]);
+    });
+
     it("spares the wait when the former holder has stopped", () => {
         const first = slots.plan(slots.empty, { live: [holder("a")], leaving: [] }, 2) ?? slots.empty;
         const next = slots.plan(first, { live: [holder("b")], leaving: [], stopped: holder("a") }, 2) ?? slots.empty;
@@ -152,7 +165,6 @@
         incarnation,
         heartbeat,
         leaving: false,
-        slots: [],
     });
 
     it("counts silence from the last advance of a heartbeat, and takes a restart as a new process", () => {
--- a/src/core/slots.ts
+++ b/src/core/slots.ts
@@ -10,8 +10,11 @@
             incarnation: z.number(),
             /** True when another process held the slot before and may still use it for a while. */
             inherited: z.boolean(),
+            /** Sequence of the table that gave the slot: given away and back, it is another grant. */
+            grant: z.number(),
         }).readonly(),
     ).readonly(),
+    sequence: z.number(),
 }).readonly();
 
 /** The holder of each slot, by slot number. */
@@ -24,7 +27,23 @@
 }
 
 /** A table without holders. */
-export const empty: Table = { slots: [] };
+export const empty: Table = { slots: [], sequence: 0 };
+
+/** Reads a table as stored. Of a corrupt one nothing is known but that each slot may be in use. */
+export function read(value: string | undefined, count: number): Table {
+    if (value === undefined) {
+        return empty;
+    }
+    const unknown = { host: "", incarnation: 0, inherited: true, grant: 0 };
+    const corrupt = { slots: Array.from({ length: count }, () => unknown), sequence: 0 };
+    try {
+        const parsed = schema.safeParse(JSON.parse(value));
+        return parsed.success ? parsed.data : corrupt;
+    }
+    catch {
+        return corrupt;
+    }
+}
 
 function same(left: Holder, right: Holder): boolean {
     return left.host === right.host && left.incarnation === right.incarnation;
@@ -62,6 +81,7 @@
         load.load += 1;
         return current;
     });
+    const sequence = table.sequence + 1;
     const slots = kept.map((entry, slot) => {
         if (entry !== undefined) {
             return entry;
@@ -70,13 +90,22 @@
         const ended = former !== undefined && fleet.stopped !== undefined && same(former, fleet.stopped);
         const least = loads.reduce((best, next) => (next.load < best.load ? next : best));
         least.load += 1;
-        return { ...least.holder, inherited: former !== undefined && !ended };
+        return { ...least.holder, inherited: former !== undefined && !ended, grant: sequence };
     });
     const changed = slots.some((entry, slot) => entry !== table.slots[slot]);
-    return changed ? { slots } : undefined;
+    return changed ? { slots, sequence } : undefined;
+}
+
+/** A slot that a process holds. */
+export interface Grant {
+    readonly slot: number;
+    readonly inherited: boolean;
+    readonly grant: number;
 }
 
 /** Slots that the process holds. */
-export function held(table: Table, holder: Holder): readonly { readonly slot: number; readonly inherited: boolean }[] {
-    return table.slots.flatMap((entry, slot) => (same(entry, holder) ? [{ slot, inherited: entry.inherited }] : []));
+export function held(table: Table, holder: Holder): readonly Grant[] {
+    return table.slots.flatMap((entry, slot) =>
+        same(entry, holder) ? [{ slot, inherited: entry.inherited, grant: entry.grant }] : []
+    );
 }
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -207,7 +207,6 @@
             incarnation: Date.now(),
             heartbeat: 0,
             leaving: false,
-            slots: [],
         };
         container.bind(id.self).toConstantValue(self);
     }
--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -79,6 +79,8 @@
     let unconfirmed = 0;
     let promoting = false;
     let lostMs: number | undefined;
+    /** The primary that writes went to last. */
+    let serving: string | undefined;
     const watch = failover.createWatch({ silenceMs: options.silenceMs * remoteness(), pauseMs, attemptGapMs });
 
     function remoteness(): number {
@@ -121,8 +123,22 @@
         return progress.find(id ?? "")?.leaving === true || quorum.find(id ?? "")?.leaving === true;
     }
 
+    /** Ends at once what still waits at a primary that has been replaced. */
+    function noteReplacement(): void {
+        const current = progress.primary();
+        if (current === undefined || current === serving) {
+            return;
+        }
+        if (serving !== undefined) {
+            log.info({ database: name, replaced: serving, primary: current, reason: "newer term" }, "Primary changed.");
+            poolsById.get(serving)?.abort();
+        }
+        serving = current;
+    }
+
     function look(): void {
         progress.wake();
+        noteReplacement();
         notePrimary();
         const reports = progress.reports();
         const due = watch.look({
--- a/src/daemon/fleet.ts
+++ b/src/daemon/fleet.ts
@@ -48,7 +48,7 @@
     note(storeUp: boolean): void;
     /** What is heard of the store, by failure domain. */
     words(): readonly freshness.Word[];
-    describe(change: Partial<Pick<memberships.Member, "leaving" | "slots">>): void;
+    describe(change: Partial<Pick<memberships.Member, "leaving">>): void;
     /** Answers another host's digest. */
     answer(digest: messages.Digest): messages.Digest;
     /** Exchanges at once, to spread news. */
--- a/src/daemon/pool.ts
+++ b/src/daemon/pool.ts
@@ -45,6 +45,8 @@
     /** Statements running and waiting. */
     load(): number;
     links(): number;
+    /** Closes the links in use: their statements end at once, with what is known of them. */
+    abort(): void;
     close(): void;
 }
 
@@ -69,6 +71,7 @@
         weight: organisation => options.weight(organisation),
     });
     const idle: endpoint.Link[] = [];
+    const inUse = new Set<endpoint.Link>();
     let total = 0;
     let running = 0;
     let reserved = 0;
@@ -115,7 +118,9 @@
             return neverthrow.err(link.error);
         }
         const startMs = clock.now();
+        inUse.add(link.value);
         const outcome = await work(link.value);
+        inUse.delete(link.value);
         queue.observe(clock.now() - startMs);
         put(link.value);
         return outcome;
@@ -176,10 +181,14 @@
             if (link.isErr()) {
                 reserved -= 1;
             }
+            else {
+                inUse.add(link.value);
+            }
             return link;
         },
         release(link) {
             reserved -= 1;
+            inUse.delete(link);
             put(link);
         },
         load() {
@@ -188,6 +197,9 @@
         links() {
             return total;
         },
+        abort() {
+            inUse.forEach(link => link.close());
+        },
         close() {
             closed = true;
             stopExpiry?.();
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -43,6 +43,11 @@
     close(): void;
 }
 
+/** A slot held by one grant of the table. */
+interface Right extends quotas.Entitlement {
+    readonly grant: number;
+}
+
 interface Demand {
     count: number;
     sinceMs: number;
@@ -74,23 +79,19 @@
     const borrowing = new Map<string, Promise<void>>();
     const emptyUntil = new Map<string, number>();
     const demands = new Map<string, Demand>();
-    let rights: readonly quotas.Entitlement[] = [];
+    let rights: readonly Right[] = [];
+    let parsed = { revision: 0, table: slots.empty };
     let view = "";
     let steady = 0;
     let released = false;
     let stop: (() => void) | undefined;
 
-    function parse(value: string | undefined): slots.Table {
-        if (value === undefined) {
-            return slots.empty;
-        }
-        try {
-            const parsed = slots.schema.safeParse(JSON.parse(value));
-            return parsed.success ? parsed.data : slots.empty;
-        }
-        catch {
-            return slots.empty;
+    function table(): slots.Table {
+        const { value, revision } = options.register.value();
+        if (revision !== parsed.revision) {
+            parsed = { revision, table: slots.read(value, options.slots) };
         }
+        return parsed.table;
     }
 
     /** A former holder may go on until it learns of the change, and its loans end after that. */
@@ -100,12 +101,13 @@
         }
         const holder = describe(self);
         const startMs = clock.now() + options.freshMs + options.loanMs + marginMs;
-        rights = slots.held(parse(value), holder).map(({ slot, inherited }) => {
-            const known = rights.find(right => right.slot === slot);
-            return known ?? { slot, fromMs: inherited ? startMs : clock.now() };
+        const former = rights;
+        rights = slots.held(slots.read(value, options.slots), holder).map(({ slot, inherited, grant }) => {
+            const known = rights.find(right => right.slot === slot && right.grant === grant);
+            return known ?? { slot, grant, fromMs: inherited ? startMs : clock.now() };
         });
+        quota.hold(rights.filter(right => former.includes(right)));
         quota.hold(rights);
-        options.fleet().describe({ slots: rights.map(right => right.slot) });
         log.info({ slots: rights, reason: "slot table" }, "Quota slots held.");
     }
 
@@ -132,8 +134,7 @@
         const leaving = options.fleet().reachable().filter(member => member.leaving && member.id !== stopped?.host).map(
             describe,
         );
-        const table = parse(options.register.value().value);
-        const next = slots.plan(table, { live, leaving, stopped }, options.slots);
+        const next = slots.plan(table(), { live, leaving, stopped }, options.slots);
         if (next !== undefined) {
             const changed = await options.register.swap(JSON.stringify(next));
             log.info({ changed, slots: next.slots, reason: "hosts came or went" }, "Quota slots placed.");
@@ -155,10 +156,9 @@
 
     /** Hosts that accrue for the organisation, those of this host's region first. */
     function lenders(organisation: string): readonly memberships.Member[] {
-        const banks = quota.banks(organisation);
-        const others = options.fleet().direct().filter(member =>
-            member.id !== self.id && member.slots.some(slot => banks.includes(slot))
-        );
+        const held = table();
+        const holders = new Set(quota.banks(organisation).map(bank => held.slots[bank]?.host));
+        const others = options.fleet().direct().filter(member => member.id !== self.id && holders.has(member.id));
         return [...others].sort((left, right) =>
             Number(right.region === self.region) - Number(left.region === self.region)
         );
