--- a/src/daemon/handlers.ts
+++ b/src/daemon/handlers.ts
@@ -52,7 +52,7 @@
         }),
         grpc.handle(
             messages.peer.lend,
-            request => accept({ tokens: parts().tokens.lend(request.organisation, request.wanted) }),
+            request => accept(parts().tokens.lend(request.organisation, request.wanted)),
         ),
         grpc.handle(messages.peer.status, () => accept({ report: JSON.stringify(report(parts(), settings)) })),
         grpc.handle(messages.peer.explain, async request => explain(parts(), settings, request)),
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -27,7 +27,7 @@
     account: z.strictObject({ user: z.string(), password: z.string() }).readonly(),
     quota: z.strictObject({
         slots: z.number().int().min(1).max(10_000).default(9),
-        banks: z.number().int().min(1).max(64).default(3),
+        banks: z.number().int().min(1).max(64).default(9),
         loanMs: z.number().min(50).max(10_000).default(150),
     }).readonly().prefault({}),
     timing: z.strictObject({
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -31,7 +31,7 @@
 export interface Tokens {
     /** Takes one token, here or on loan. */
     admit(organisation: string): Promise<neverthrow.Result<void, failure.Failure>>;
-    lend(organisation: string, wanted: number): number;
+    lend(organisation: string, wanted: number): { readonly tokens: number; readonly left: number };
     limit(document: configuration.Document): void;
     held(organisation: string): number;
     slots(): readonly number[];
@@ -78,6 +78,8 @@
     });
     const borrowing = new Map<string, Promise<void>>();
     const emptyUntil = new Map<string, number>();
+    /** Tokens that lenders last said they hold, by organisation and host. */
+    const remaining = new Map<string, number>();
     const demands = new Map<string, Demand>();
     let rights: readonly Right[] = [];
     let parsed = { revision: 0, table: slots.empty };
@@ -154,14 +156,16 @@
         return demand;
     }
 
-    /** Hosts that accrue for the organisation, those of this host's region first. */
+    /** Hosts that accrue for the organisation: those that last had tokens left first, then those of this region. */
     function lenders(organisation: string): readonly memberships.Member[] {
         const held = table();
         const holders = new Set(quota.banks(organisation).map(bank => held.slots[bank]?.host));
         const others = options.fleet().direct().filter(member => member.id !== self.id && holders.has(member.id));
-        return [...others].sort((left, right) =>
-            Number(right.region === self.region) - Number(left.region === self.region)
-        );
+        const rank = (member: memberships.Member): number => {
+            const filled = (remaining.get(`${organisation}/${member.id}`) ?? 1) >= 1;
+            return Number(filled) * 2 + Number(member.region === self.region);
+        };
+        return [...others].sort((left, right) => rank(right) - rank(left));
     }
 
     async function borrow(organisation: string, wanted: number): Promise<void> {
@@ -173,6 +177,9 @@
             const askedMs = clock.now();
             const channel = options.fleet().channel(lender);
             const loan = await channel.call(messages.peer.lend, { organisation, wanted: missing }, lendTimeoutMs);
+            if (loan.isOk()) {
+                remaining.set(`${organisation}/${lender.id}`, loan.value.left);
+            }
             if (loan.isOk() && loan.value.tokens > 0) {
                 quota.borrow(organisation, loan.value.tokens, askedMs);
             }
@@ -214,7 +221,10 @@
             emptyUntil.set(organisation, clock.now() + Math.min(prefetchMs, quota.waitMs(organisation, 1)));
             return refuse(organisation);
         },
-        lend: (organisation, wanted) => quota.lend(organisation, wanted, clock.now()),
+        lend(organisation, wanted) {
+            const tokens = quota.lend(organisation, wanted, clock.now());
+            return { tokens, left: quota.held(organisation, clock.now()) };
+        },
         limit(document) {
             quota.limit(new Map(Object.entries(document.organisations)));
         },
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -185,7 +185,11 @@
     lend: method(
         "lend",
         z.object({ organisation: z.string(), wanted: z.number() }).readonly(),
-        z.object({ tokens: z.number() }).readonly(),
+        z.object({
+            tokens: z.number(),
+            /** Tokens that the lender still holds. */
+            left: z.number(),
+        }).readonly(),
     ),
     status: method("status", nothing, z.object({ report: z.string() }).readonly()),
     explain: method(
