--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -193,7 +193,7 @@
         const { feed } = parts();
         return feed.ready()
             ? undefined
-            : "waiting for the configuration and the database groups, from the platform or a peer";
+            : "waiting for the configuration, the database groups and the quota slots, from the platform or a peer";
     }
 
     async function listenToPeers(): Promise<void> {
--- a/src/daemon/feed.ts
+++ b/src/daemon/feed.ts
@@ -234,7 +234,7 @@
         },
         judge: () => judge(index),
         judgeSlots: () => judge(slots),
-        ready: () => current.revision > 0 && groups.revision > 0,
+        ready: () => current.revision > 0 && groups.revision > 0 && slots.value().revision > 0,
         start() {
             index.start();
             slots.start();
