Follow replicas closely while they are behind a known write

Change: while a replica is behind the newest write known, it is asked each 5 ms. The reading of faults has a file of its own.

--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -8,10 +8,11 @@
 import * as floors from "../core/floors.js";
 import * as positions from "../core/position.js";
 import * as routing from "../core/routing.js";
-import * as endpoint from "../ports/endpoint.js";
+import type * as endpoint from "../ports/endpoint.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
+import * as faults from "./faults.js";
 import * as idempotent from "./idempotent.js";
 import * as pools from "./pool.js";
 import * as progresses from "./progress.js";
@@ -73,11 +74,12 @@
 export function createDatabase(options: Options): Database {
     const { clock, log } = options;
     const sessions = floors.createFloors();
-    const progress = progresses.createProgress({ ...options, reported: prune });
+    const progress = progresses.createProgress({ ...options, behind, reported: prune });
     const { quorum } = progress;
     const name = options.group.database;
     const poolsById = new Map<string, pools.Pool>();
     const running = new Set<Promise<unknown>>();
+    let written = positions.zero;
     let unconfirmed = 0;
     let promoting = false;
     let lostMs: number | undefined;
@@ -103,6 +105,10 @@
         return created;
     }
 
+    function behind(): boolean {
+        return progress.reports().some(report => positions.compare(report.applied, written) < 0);
+    }
+
     /** Forgets the floors that every endpoint has passed. */
     function prune(): void {
         const [first, ...others] = progress.reports().map(report => report.applied);
@@ -176,24 +182,10 @@
         });
     }
 
-    function noPrimary(): failure.Failure {
-        const message = `Database ${name} has no primary that accepts writes now.`;
-        return failure.create(failure.Code.noPrimary, name, message, retryMs);
-    }
+    const noPrimary = (): failure.Failure => faults.noPrimary(name);
 
     function convert(fault: endpoint.Fault, target: messages.Endpoint, kind: "read" | "write"): failure.Failure {
-        if (fault.kind === "refused") {
-            const closing = fault.errno === endpoint.readOnlyErrno || fault.errno === endpoint.shutdownErrno;
-            const refused = failure.create(failure.Code.endpointError, target.id, fault.message);
-            return closing ? noPrimary() : { ...refused, endpointErrno: fault.errno };
-        }
-        if (fault.kind === "unsent") {
-            const message = `Endpoint ${target.id} was not reached: ${fault.message}`;
-            return failure.create(failure.Code.endpointUnreachable, target.id, message, retryMs);
-        }
-        return kind === "read"
-            ? failure.create(failure.Code.readLost, target.id, `Endpoint ${target.id} did not answer a read.`, retryMs)
-            : failure.create(failure.Code.outcomeUnknown, target.id, `Endpoint ${target.id} did not confirm a write.`);
+        return faults.explain(fault, { database: name, endpoint: target.id, kind });
     }
 
     async function settle(
@@ -201,6 +193,7 @@
         session: string | undefined,
         deadlineMs: number,
     ): Promise<Result<void>> {
+        written = positions.max(written, position);
         sessions.account(position, session);
         unconfirmed += 1;
         const held = await progress.until(() => quorum.holds(position) || quorum.term() > position.term, deadlineMs);
--- a/src/daemon/progress.ts
+++ b/src/daemon/progress.ts
@@ -12,6 +12,8 @@
     readonly clock: runtime.Clock;
     readonly log: runtime.Log;
     readonly dialer: endpoint.Dialer;
+    /** True while a replica has not applied the newest write known here. */
+    behind(): boolean;
     /** Told after each report. */
     reported(): void;
 }
@@ -83,12 +85,18 @@
         quorum.forget(id);
     }
 
+    function urgency(): trackers.Urgency {
+        if (waiters.length > 0) {
+            return "waiting";
+        }
+        return options.behind() ? "behind" : "idle";
+    }
+
     function track(target: messages.Endpoint): void {
         if (!trackersById.has(target.id)) {
-            const busy = (): boolean => waiters.length > 0;
             trackersById.set(
                 target.id,
-                trackers.createTracker({ target, dialer: options.dialer, clock, busy, reported, lost }),
+                trackers.createTracker({ target, dialer: options.dialer, clock, urgency, reported, lost }),
             );
         }
     }
--- a/src/daemon/tracker.ts
+++ b/src/daemon/tracker.ts
@@ -7,8 +7,8 @@
 import type * as runtime from "../ports/runtime.js";
 
 const statusQuery = "SHOW GROUP STATUS";
-const idleMs = 200;
-const busyMs = 1;
+/** Time between two questions, in milliseconds. */
+const restMs: Readonly<Record<Urgency, number>> = { waiting: 1, behind: 5, idle: 200 };
 const retryMs = 100;
 const timeoutMs = 500;
 
@@ -24,13 +24,16 @@
     z.enum(["0", "1"]),
 ]);
 
+/** Someone waits for progress, a replica is behind a known write, or neither. */
+export type Urgency = "waiting" | "behind" | "idle";
+
 /** Settings of a tracker. */
 export interface Options {
     readonly target: messages.Endpoint;
     readonly dialer: endpoint.Dialer;
     readonly clock: runtime.Clock;
-    /** True while someone waits for this endpoint's progress. */
-    busy(): boolean;
+    /** How closely progress matters now. */
+    urgency(): Urgency;
     reported(report: quorum.Report): void;
     lost(endpoint: string, cause: string): void;
 }
@@ -118,7 +121,7 @@
             else {
                 options.lost(target.id, report.error);
             }
-            await rest(report.isErr() ? retryMs : options.busy() ? busyMs : idleMs);
+            await rest(report.isErr() ? retryMs : restMs[options.urgency()]);
         }
         link?.close();
     }
