Prove the command line under load, malformed messages and settings; report queues and links

Cause: gauges for queues and links were declared and never set; the command line and bad input had no test.

--- a/scenarios/steps/promises.ts
+++ b/scenarios/steps/promises.ts
@@ -1,5 +1,6 @@
 /** Steps that check what must always hold. */
 import * as chai from "chai";
+import * as childProcess from "node:child_process";
 import * as crypto from "node:crypto";
 import * as configstore from "../../src/adapters/configstore.js";
 import * as grpc from "../../src/adapters/grpc.js";
@@ -212,6 +213,12 @@
     chai.expect(mismatches).to.deep.equal([]);
 }
 
+/** Runs the command line against the platform; returns its exit status. */
+function command(stage: stages.Stage, line: string): number | null {
+    const args = ["dist/src/cli/main.js", ...line.split(" "), "--platform", stages.platformOf(stage)];
+    return childProcess.spawnSync(process.execPath, args, { stdio: "ignore" }).status;
+}
+
 /** The steps. */
 export const steps: stages.Steps = {
     "no acknowledged write is lost or doubled and no read was stale": verify,
@@ -289,6 +296,9 @@
     },
     "the store's index is corrupt": stage =>
         stages.clusterOf(stage).world.platform.put(configstore.indexKey, "{broken"),
+    "the command {string} succeeds": (stage, line: string) => chai.expect(command(stage, line)).to.equal(0),
+    "the command {string} fails with {int}": (stage, line: string, status: number) =>
+        chai.expect(command(stage, line)).to.equal(status),
     "endpoint {word} serves statements": async (stage, id: string) => {
         const member = stages.clusterOf(stage).world.groups.flatMap(group => group.members).find(entry =>
             entry.id === id
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -232,6 +232,7 @@
         const stops = [
             clock.every(sweepMs, () => entry.sweep()),
             clock.every(gaugeMs, () => {
+                owner.gauge();
                 measures.gauge("callers", "", entry.callers());
                 measures.gauge("sessions", "transactions", owner.transactions());
                 Object.keys(feed.configuration().document.organisations).forEach(name =>
--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -56,6 +56,8 @@
     explain(need: routing.Need): routing.Decision;
     /** Statements running and waiting. */
     load(): number;
+    /** Reports queues and links by endpoint. */
+    gauge(): void;
     report(): object;
     close(): void;
 }
@@ -373,6 +375,11 @@
         primaryPool: () => primaryTarget().map(pool),
         update: next => progress.update(next),
         load: () => [...poolsById.values()].reduce((total, entry) => total + entry.load(), 0),
+        gauge: () =>
+            poolsById.forEach((entry, endpointId) => {
+                options.measures.gauge("queue", endpointId, entry.load());
+                options.measures.gauge("links", endpointId, entry.links());
+            }),
         explain: wanted => routing.choose(candidates(), wanted),
         report: () => ({
             database: name,
--- a/src/daemon/owner.ts
+++ b/src/daemon/owner.ts
@@ -42,6 +42,8 @@
     find(database: string): databases.Database | undefined;
     update(groups: readonly messages.Group[]): void;
     report(): readonly object[];
+    /** Reports queues and links. */
+    gauge(): void;
     transactions(): number;
     /** Statements running and waiting, transactions included. */
     load(): number;
@@ -168,6 +170,7 @@
         update(groups) {
             groups.forEach(group => owned.get(group.database)?.database.update(group));
         },
+        gauge: () => owned.forEach(entry => entry.database.gauge()),
         report: () => [...owned.values()].map(entry => entry.database.report()),
         transactions: () => open.count(),
         load: () => [...owned.values()].reduce((total, entry) => total + entry.database.load(), open.count()),
