--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -68,7 +68,7 @@
 const actGapMs = 250;
 /** An owner away from the primary waits longer, so that the one beside it acts first. */
 const remoteFactor = 2.5;
-const settleMs = 20;
+const settleMs = 50;
 const retryMs = 100;
 const reportAgeLimitMs = 1_500;
 
@@ -220,8 +220,9 @@
             return neverthrow.err(failure.create(failure.Code.readLost, name, message, retryMs));
         }
         const newest = quorum.sample()?.position ?? positions.zero;
-        if (!sessions.accounts(newest)) {
-            await Promise.race([Promise.allSettled([...running]), clock.sleep(settleMs)]);
+        const limitMs = clock.now() + settleMs;
+        while (!sessions.accounts(newest) && running.size > 0 && clock.now() < limitMs) {
+            await Promise.race([...running, clock.sleep(limitMs - clock.now())]);
         }
         if (!sessions.accounts(newest)) {
             sessions.concede(newest);
