--- /dev/null
+++ b/src/adapters/mysqlserver.test.ts
@@ -0,0 +1,87 @@
+import * as chai from "chai";
+import mysql from "mysql2/promise";
+import * as neverthrow from "neverthrow";
+import * as net from "node:net";
+import * as statements from "../core/statement.js";
+import * as mysqlserver from "./mysqlserver.js";
+
+const answer: mysqlserver.Outcome = {
+    columns: [{ name: "one", type: 253 }],
+    rows: [["1"]],
+    affectedRows: 0,
+    insertId: 0,
+};
+
+/** A listener that lets everybody in, and counts the connections that ended. */
+async function listen(): Promise<{ readonly listener: mysqlserver.Listener; readonly ended: () => number }> {
+    let count = 0;
+    const session: mysqlserver.Session = {
+        query: async () => neverthrow.ok([answer]),
+        ended: () => {
+            count += 1;
+        },
+    };
+    const listener = await mysqlserver.listen({
+        host: "127.0.0.1",
+        port: 0,
+        accept: async () => neverthrow.ok(session),
+    });
+    return { listener, ended: () => count };
+}
+
+function connect(port: number): Promise<mysql.Connection> {
+    return mysql.createConnection({ host: "127.0.0.1", port, user: "u", password: "p", database: "d" });
+}
+
+describe("mysqlserver", () => {
+    it("outlives garbage and half-closed sockets", async () => {
+        const { listener } = await listen();
+        for (
+            const bytes of [
+                Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+                Buffer.from([0xff, 0xff, 0xff, 0x00, 0x01]),
+                Buffer.alloc(0),
+            ]
+        ) {
+            await new Promise<void>(resolve => {
+                const socket = net.connect({ port: listener.port, host: "127.0.0.1", allowHalfOpen: true });
+                socket.on("error", () => undefined);
+                socket.on("close", () => resolve());
+                socket.once("data", () => socket.end(bytes));
+                socket.on("end", () => socket.destroy());
+            });
+        }
+        const connection = await connect(listener.port);
+        const [rows] = await connection.query("SELECT 1 AS one");
+        chai.expect(rows).to.deep.equal([{ one: "1" }]);
+        connection.destroy();
+        listener.close();
+    });
+
+    it("tells an idle caller why it is sent away", async () => {
+        const { listener, ended } = await listen();
+        const connection = await connect(listener.port);
+        const told = new Promise<Error>(resolve => connection.on("error", resolve));
+        await connection.query("SELECT 1 AS one");
+        listener.retire({ errno: 1053, message: "HP1104: This host is stopping. Not run." });
+        chai.expect((await told).message).to.contain("HP1104");
+        chai.expect(ended()).to.be.at.most(1);
+        listener.close();
+    });
+
+    it("refuses a prepared statement by name and goes on", async () => {
+        const { listener } = await listen();
+        const connection = await connect(listener.port);
+        const refused = await connection.execute("SELECT ?", [1]).then(() => "", (thrown: Error) => thrown.message);
+        chai.expect(refused).to.contain("Prepared statements are not supported");
+        const [rows] = await connection.query("SELECT 1 AS one");
+        chai.expect(rows).to.have.length(1);
+        connection.destroy();
+        listener.close();
+    });
+
+    it("refuses a statement past the limit and says the limit", () => {
+        const refused = statements.classify(`SELECT '${"x".repeat(statements.maxTextLength)}'`)._unsafeUnwrapErr();
+        chai.expect(refused.message).to.contain(String(statements.maxTextLength));
+    });
+});
--- a/src/daemon/database.ts
+++ b/src/daemon/database.ts
@@ -120,7 +120,7 @@
     }
 
     function notePrimary(): void {
-        const known = progress.primary() !== undefined && quorum.find(progress.primary() ?? "") !== undefined;
+        const known = quorum.find(progress.primary() ?? "") !== undefined;
         if (known && lostMs !== undefined) {
             options.measures.failover(name, clock.now() - lostMs);
             lostMs = undefined;
@@ -185,10 +185,8 @@
     }
 
     const noPrimary = (): failure.Failure => faults.noPrimary(name);
-
-    function convert(fault: endpoint.Fault, target: messages.Endpoint, kind: "read" | "write"): failure.Failure {
-        return faults.explain(fault, { database: name, endpoint: target.id, kind });
-    }
+    const convert = (fault: endpoint.Fault, target: messages.Endpoint, kind: "read" | "write"): failure.Failure =>
+        faults.explain(fault, { database: name, endpoint: target.id, kind });
 
     async function settle(
         position: positions.Position,
@@ -296,7 +294,9 @@
         const replica = target.id !== progress.primary();
         const outcome = await pool(target).run({ organisation: execution.organisation, deadlineMs }, async link => {
             const reply = await link.run(execution.text, deadlineMs - clock.now());
-            return reply.mapErr(fault => convert(fault, target, "read"));
+            return reply
+                .mapErr(fault => convert(fault, target, "read"))
+                .andThen(value => faults.bound(value, target.id));
         });
         return outcome.map(reply => {
             options.measures.read(execution.organisation, replica);
--- a/src/daemon/faults.ts
+++ b/src/daemon/faults.ts
@@ -1,4 +1,5 @@
 /** What a fault at an endpoint means for the caller's statement. */
+import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
 import * as endpoint from "../ports/endpoint.js";
 
@@ -11,6 +12,9 @@
 
 const retryMs = 100;
 
+/** Longest answer to one statement, in characters. */
+export const maxAnswerLength = 16_000_000;
+
 /** The database has no primary that accepts writes. */
 export function noPrimary(database: string): failure.Failure {
     const message = `Database ${database} has no primary that accepts writes now.`;
@@ -33,3 +37,14 @@
         ? failure.create(failure.Code.readLost, at, `Endpoint ${at} did not answer a read.`, retryMs)
         : failure.create(failure.Code.outcomeUnknown, at, `Endpoint ${at} did not confirm a write.`);
 }
+
+/** Refuses an answer past the limit; it is whole or not given. */
+export function bound(reply: endpoint.Reply, at: string): neverthrow.Result<endpoint.Reply, failure.Failure> {
+    const lengths = reply.rows.map(row => row.reduce((sum, cell) => sum + (cell?.length ?? 0), 0));
+    const length = lengths.reduce((sum, next) => sum + next, 0);
+    if (length <= maxAnswerLength) {
+        return neverthrow.ok(reply);
+    }
+    const message = `The answer has ${length} characters; the limit is ${maxAnswerLength}.`;
+    return neverthrow.err(failure.create(failure.Code.answerTooLarge, at, message));
+}
