Let one side at most of a cut fleet move quota slots

Each of three hosts cut from the others, but not from the store, saw the others dead and gave itself all slots, every 1.5 s; each move starts the successor's wait again, so no host ever accrued. Change: only a majority of the hosts named in the table, or half with the first, may change it; others wait 60 s. Scenarios with host processes begin once each host holds tokens of its own.

--- a/src/core/policy.test.ts
+++ b/src/core/policy.test.ts
@@ -106,6 +106,19 @@
         chai.expect(slots.held(third, holder("a"))[0]?.inherited).to.equal(true);
     });
 
+    it("lets one side at most of a cut fleet change the table", () => {
+        const first = slots.plan(slots.empty, { live: [holder("a"), holder("b")], leaving: [] }, 4) ?? slots.empty;
+        chai.expect(slots.mayPlan(slots.empty, [holder("a")])).to.equal(true);
+        chai.expect([["a"], ["b"]].map(side => slots.mayPlan(first, side.map(holder)))).to.deep.equal([true, false]);
+        const three = slots.plan(slots.empty, { live: ["a", "b", "c"].map(holder), leaving: [] }, 9) ?? slots.empty;
+        chai.expect(["a", "b", "c"].map(side => slots.mayPlan(three, [holder(side)]))).to.deep.equal([
+            false,
+            false,
+            false,
+        ]);
+        chai.expect(slots.mayPlan(three, [holder("b"), holder("c")])).to.equal(true);
+    });
+
     it("takes every slot of a corrupt table for one in use", () => {
         const next = slots.plan(slots.read("{broken", 2), { live: [holder("a")], leaving: [] }, 2) ?? slots.empty;
         chai.expect(next.slots.map(entry => entry.inherited)).to.deep.equal([true, true]);
--- a/src/core/slots.ts
+++ b/src/core/slots.ts
@@ -96,6 +96,17 @@
     return changed ? { slots, sequence } : undefined;
 }
 
+/**
+ * Whether those live may change the table: a majority of the hosts it names, or half of them with the first.
+ * Hosts that are cut from each other but not from the store would otherwise take the slots from each other in turn.
+ */
+export function mayPlan(table: Table, live: readonly Holder[]): boolean {
+    const named = [...new Set(table.slots.map(entry => entry.host).filter(host => host !== ""))];
+    const present = named.filter(host => live.some(holder => holder.host === host));
+    const half = present.length * 2 === named.length;
+    return present.length * 2 > named.length || (half && present[0] === named[0]);
+}
+
 /** A slot that a process holds. */
 export interface Grant {
     readonly slot: number;
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -59,6 +59,8 @@
 const reviewMs = 500;
 /** Looks in a row that must agree before slots move. */
 const steadyLooks = 3;
+/** Looks after which even a minority may move slots: the others are then gone rather than cut off. */
+const lonelyLooks = 120;
 /** Added to the time that a former holder may go on, for clocks that drift. */
 const marginMs = 500;
 /** Loans awaited for one statement; each was found sufficient, and others were quicker to spend it. */
@@ -128,7 +130,10 @@
         if (released || steady < steadyLooks || home?.id !== self.id || options.judge().reason !== "fresh") {
             return;
         }
-        await place(undefined);
+        if (slots.mayPlan(table(), live.map(describe)) || steady >= lonelyLooks) {
+            steady = 0;
+            await place(undefined);
+        }
     }
 
     function describe(member: memberships.Member): slots.Holder {
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -160,6 +160,7 @@
     for (const index of options.places.keys()) {
         await add(index);
     }
+    await waitForTokens(hosts);
     return {
         platform: addresses.platform,
         topology,
@@ -181,6 +182,23 @@
 }
 
 const pollMs = 50;
+/** Quota slots of a fleet with default settings; no more hosts than these hold tokens of their own. */
+const quotaSlots = 9;
+
+/** Waits until the quota slots are spread over the hosts and accrue. */
+async function waitForTokens(hosts: readonly Process[]): Promise<void> {
+    const deadline = Date.now() + startTimeoutMs;
+    const wanted = Math.min(hosts.length, quotaSlots);
+    for (let holding = 0; holding < wanted; await new Promise(resolve => setTimeout(resolve, pollMs * 4))) {
+        const texts = await Promise.all(
+            hosts.map(host => fetch(`http://127.0.0.1:${host.operationsPort}/metrics`).then(answer => answer.text())),
+        );
+        holding = texts.filter(text => /^hyssophatch_level\{name="tokens",label="[^"]+"\} [1-9]/m.test(text)).length;
+        if (Date.now() > deadline) {
+            throw new Error("The quota slots did not spread over the hosts.");
+        }
+    }
+}
 
 async function waitUntilReady(host: Process): Promise<void> {
     const deadline = Date.now() + startTimeoutMs;
