--- a/scenarios/03-transactions.feature
+++ b/scenarios/03-transactions.feature
@@ -4,14 +4,14 @@
     Given 1 host for Roata
     And a table on orders
     And ana connects to host 0 as cluj on orders
-    When ana sends "BEGIN"
-    And ana sends "INSERT INTO orders (id, organisation) VALUES ('half', 'cluj')"
+    When ana insists on "BEGIN"
+    And ana insists on "INSERT INTO orders (id, organisation) VALUES ('half', 'cluj')"
     And ana leaves without a word
     And 500 ms pass
     And dan connects to host 0 as brasov on orders
-    And dan sends "BEGIN"
-    And dan sends "INSERT INTO orders (id, organisation) VALUES ('whole', 'brasov')"
-    And dan sends "COMMIT"
+    And dan insists on "BEGIN"
+    And dan insists on "INSERT INTO orders (id, organisation) VALUES ('whole', 'brasov')"
+    And dan insists on "COMMIT"
     Then dan has its answer
     And orders holds 1 row of whole
     And orders holds 0 rows of half
@@ -21,11 +21,11 @@
     And a table on orders
     And ana connects to host 0 as cluj on orders
     And dan connects to host 1 as brasov on orders
-    When ana sends "BEGIN"
-    And dan sends "BEGIN"
-    And ana sends "INSERT INTO orders (id, organisation) VALUES ('of-ana', 'cluj')"
+    When ana insists on "BEGIN"
+    And dan insists on "BEGIN"
+    And ana insists on "INSERT INTO orders (id, organisation) VALUES ('of-ana', 'cluj')"
     And dan sends "ROLLBACK"
-    And ana sends "COMMIT"
+    And ana insists on "COMMIT"
     Then ana has its answer
     And orders holds 1 row of of-ana
 
@@ -33,7 +33,7 @@
     Given 2 hosts for Roata
     And a table on orders
     And ana connects to host 0 as cluj on orders
-    When ana sends "BEGIN"
+    When ana insists on "BEGIN"
     And ana sends "INSERT INTO orders (id, organisation) VALUES ('lost', 'cluj')"
     And the primary of orders is killed
     And ana sends "INSERT INTO orders (id, organisation) VALUES ('lost', 'cluj')"
@@ -47,7 +47,7 @@
     Given 3 host processes for Roata
     And a table on orders
     And ana connects to host 2 as cluj on orders
-    When ana sends "BEGIN"
+    When ana insists on "BEGIN"
     And ana sends "INSERT INTO orders (id, organisation) VALUES ('lost', 'cluj')"
     And the owner of orders is killed
     And ana sends "INSERT INTO orders (id, organisation) VALUES ('lost', 'cluj')"
