Drop a field, a constant and a branch that nothing needs

Read in the whole change: the region in what hosts say of the store was sent and never read; an error number had no user; the end of a loan was judged in two branches. Behaviour is the same. The full suite was not run.

--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -8,7 +8,6 @@
 /** Schema of a word on the wire. */
 export const schema = z.object({
     failureDomain: z.string(),
-    region: z.string(),
     /** Time since a host of the failure domain last reached the store, in milliseconds. */
     upMs: z.number().optional(),
     /** Time since a host of the failure domain last failed to reach it, in milliseconds. */
--- a/src/core/policy.test.ts
+++ b/src/core/policy.test.ts
@@ -72,7 +72,7 @@
 
 describe("freshness", () => {
     const evidence = { freshMs: 9_000, limitMs: 4_000, behind: false, storeDomains: ["a", "b"] };
-    const down = (failureDomain: string): freshness.Word => ({ failureDomain, region: "north", downMs: 100 });
+    const down = (failureDomain: string): freshness.Word => ({ failureDomain, downMs: 100 });
 
     it("believes an outage only on the word of each failure domain of the store's region", () => {
         chai.expect(freshness.judge({ ...evidence, words: [down("a"), down("b")] }).serve).to.equal(true);
--- a/src/daemon/fleet.ts
+++ b/src/daemon/fleet.ts
@@ -65,7 +65,6 @@
 
 /** When a failure domain last reached the store, and last failed to, on this host's clock. */
 interface Heard {
-    readonly region: string;
     readonly upAtMs: number;
     readonly downAtMs: number;
 }
@@ -101,7 +100,6 @@
     function hear(word: freshness.Word, askedMs: number): void {
         const known = words.get(word.failureDomain);
         words.set(word.failureDomain, {
-            region: word.region,
             upAtMs: Math.max(known?.upAtMs ?? -Infinity, askedMs - (word.upMs ?? Infinity)),
             downAtMs: Math.max(known?.downAtMs ?? -Infinity, askedMs - (word.downMs ?? Infinity)),
         });
@@ -111,7 +109,6 @@
         const age = (atMs: number): number | undefined => (Number.isFinite(atMs) ? clock.now() - atMs : undefined);
         return [...words].map(([failureDomain, heard]) => ({
             failureDomain,
-            region: heard.region,
             upMs: age(heard.upAtMs),
             downMs: age(heard.downAtMs),
         }));
@@ -210,9 +207,9 @@
         channel: member => options.network.channel(member.address),
         words: tell,
         note(storeUp) {
-            const { failureDomain, region } = options.self;
+            const { failureDomain } = options.self;
             hear(
-                { failureDomain, region, upMs: storeUp ? 0 : undefined, downMs: storeUp ? undefined : 0 },
+                { failureDomain, upMs: storeUp ? 0 : undefined, downMs: storeUp ? undefined : 0 },
                 clock.now(),
             );
         },
--- a/src/daemon/tokens.ts
+++ b/src/daemon/tokens.ts
@@ -218,17 +218,22 @@
                 return false;
             }
             const exhausted = await share(organisation, demand.waiting + demand.perMs * prefetchMs);
-            if (exhausted && !quota.spend(organisation, 1, clock.now())) {
-                emptyUntil.set(organisation, clock.now() + emptyMs);
-                return false;
-            }
             if (exhausted) {
-                return true;
+                return spendLast(organisation);
             }
         }
         return false;
     }
 
+    /** Spends one of the tokens that empty banks still gave, or notes that they are empty. */
+    function spendLast(organisation: string): boolean {
+        const spent = quota.spend(organisation, 1, clock.now());
+        if (!spent) {
+            emptyUntil.set(organisation, clock.now() + emptyMs);
+        }
+        return spent;
+    }
+
     function refuse(organisation: string): neverthrow.Result<void, failure.Failure> {
         const waitMs = Math.max(emptyMs, quota.waitMs(organisation, 1));
         const message = `Organisation ${organisation} is over its rate or burst.`;
--- a/src/ports/endpoint.ts
+++ b/src/ports/endpoint.ts
@@ -43,8 +43,6 @@
 export const readOnlyErrno = 1290;
 /** Error number of an endpoint that shuts down. */
 export const shutdownErrno = 1053;
-/** Error number of an endpoint without a free connection. */
-export const connectionsErrno = 1040;
 /** Error number of a duplicate key. */
 export const duplicateErrno = 1062;
 /** Error number of a missing table. */
