Serve callers and endpoints of the users' platform, thin and whole

Cause: the product spoke MySQL at both ends and found its store over gRPC; the users' platform states what each request is, has terms and positions in its wire, and keeps everything in an HTTP store.

Change: src/platform holds the wire, the store's client, the documents and the readiness answer; src/proxy serves sessions over ports that name nothing of the platform; new decisions without input or output are in src/core (samples, tenure, directory, allowance, placement, succession, suspension). Peers exchange digests over gRPC.

Ruled out: owners that forward statements (a hop more, and a connection belongs to an organisation all the same); acknowledgement by a majority (the platform does not ask for it and STATUS costs slots).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist*/**", "node_modules/**"] },
+    { ignores: ["dist*/**", "target/**", "journal/**", "node_modules/**"] },
     ...tseslint.configs.strict,
     {
         rules: {
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -140,14 +140,15 @@
             call(method, request, timeoutMs) {
                 const bytes = encode(request);
                 return new Promise(resolve => {
-                    const deadline = Date.now() + timeoutMs;
-                    client.makeUnaryRequest(
+                    // The library's own deadlines follow the time of day, which jumps.
+                    const timer = setTimeout(() => started.cancel(), timeoutMs);
+                    const started = client.makeUnaryRequest(
                         path(method.name),
                         identity,
                         identity,
                         bytes,
-                        { deadline },
                         (error, reply) => {
+                            clearTimeout(timer);
                             meter(method.name, address, bytes.length, reply?.length ?? 0);
                             if (error !== null || reply === undefined) {
                                 resolve(neverthrow.err(explain(address, method.name, error as grpc.ServiceError)));
@@ -159,6 +160,7 @@
                 });
             },
             close() {
+                channels.delete(address);
                 client.close();
             },
         };
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,94 @@
+/** Which endpoint a statement goes to, by the time that each is expected to take. */
+import * as positions from "./position.js";
+
+/** An endpoint as this host sees it. */
+export interface Candidate {
+    readonly endpoint: string;
+    readonly primary: boolean;
+    readonly draining: boolean;
+    /** True after a failed attempt to reach it, for a while. */
+    readonly suspect: boolean;
+    /** Time to the endpoint and back, in milliseconds. */
+    readonly roundTripMs: number;
+    /** Time that a statement lately took beyond the round trip, in milliseconds. */
+    readonly serviceMs: number;
+    /** Statements at the endpoint or waiting for it, from all hosts. */
+    readonly load: number;
+    /** Statements that the endpoint runs at once. */
+    readonly slots: number;
+    /** True when a connection of the organisation is open and free. */
+    readonly warm: boolean;
+    /** Newest position that the endpoint is known to have applied. */
+    readonly applied: positions.Position | undefined;
+}
+
+/** What a read asks for. */
+export interface Need {
+    readonly floor: positions.Position | undefined;
+    /** Endpoints that have been tried. */
+    readonly tried: ReadonlySet<string>;
+}
+
+/** Why an endpoint was turned down. */
+export interface Rejection {
+    readonly endpoint: string;
+    readonly reason: "draining" | "tried" | "suspect" | "not primary" | "slower";
+    readonly expectedMs?: number;
+}
+
+/** A choice that can be explained from its log line. */
+export interface Choice {
+    readonly endpoint: string | undefined;
+    readonly expectedMs: number;
+    readonly rejected: readonly Rejection[];
+}
+
+/** Cost of a new connection beside its round trip, in milliseconds: the endpoint's handshake. */
+const openingMs = 12;
+/** Cost of asking a replica that may not have the position yet and answers that it lags, in milliseconds. */
+const behindMs = 60;
+/** Cost of a read at the primary, whose slots the writes need, in milliseconds. */
+const primaryMs = 25;
+
+/** Time until an answer is expected from the endpoint, in milliseconds. */
+export function expect(candidate: Candidate, floor: positions.Position | undefined): number {
+    const queued = Math.max(0, candidate.load + 1 - candidate.slots) / candidate.slots;
+    const behind = floor !== undefined && !candidate.primary
+        && (candidate.applied === undefined || positions.compare(candidate.applied, floor) < 0);
+    return candidate.roundTripMs
+        + candidate.serviceMs * (1 + queued)
+        + (candidate.warm ? 0 : openingMs + candidate.roundTripMs)
+        + (behind ? behindMs : 0)
+        + (candidate.primary ? primaryMs : 0);
+}
+
+/** Chooses where a read goes. Without a floor only the primary can serve it. */
+export function choose(candidates: readonly Candidate[], need: Need): Choice {
+    const rejected: Rejection[] = [];
+    const eligible = candidates.filter(candidate => {
+        const reason = object(candidate, need);
+        if (reason !== undefined) {
+            rejected.push({ endpoint: candidate.endpoint, reason });
+        }
+        return reason === undefined;
+    });
+    const ranked = eligible
+        .map(candidate => ({ endpoint: candidate.endpoint, expectedMs: expect(candidate, need.floor) }))
+        .sort((left, right) => left.expectedMs - right.expectedMs);
+    const [best, ...others] = ranked;
+    rejected.push(...others.map(other => ({ ...other, reason: "slower" as const })));
+    return { endpoint: best?.endpoint, expectedMs: best?.expectedMs ?? Infinity, rejected };
+}
+
+function object(candidate: Candidate, need: Need): Rejection["reason"] | undefined {
+    if (need.tried.has(candidate.endpoint)) {
+        return "tried";
+    }
+    if (candidate.suspect) {
+        return "suspect";
+    }
+    if (need.floor === undefined && !candidate.primary) {
+        return "not primary";
+    }
+    return candidate.draining && !candidate.primary ? "draining" : undefined;
+}
--- /dev/null
+++ b/src/core/succession.ts
@@ -0,0 +1,78 @@
+/** When the primary of a database group is to be replaced, and by which endpoint. */
+import * as positions from "./position.js";
+
+/** What one host knows of its contact with a primary; ages in milliseconds. */
+export interface Contact {
+    /** Age of the last answer; undefined when there was none. */
+    readonly answeredMs: number | undefined;
+    /** Age of the first failure since the last answer; undefined without one. */
+    readonly failingMs: number | undefined;
+}
+
+/** What the decision rests on. */
+export interface Evidence {
+    /** True when the primary is no longer listed. */
+    readonly gone: boolean;
+    /** True when the primary has announced that it leaves. */
+    readonly draining: boolean;
+    /** True when the endpoint itself says that it is no primary. */
+    readonly resigned: boolean;
+    readonly own: Contact;
+    readonly others: readonly Contact[];
+}
+
+/** Whether to replace a primary. */
+export type Verdict =
+    | { readonly replace: false; readonly reason: "healthy" | "suspected" }
+    | { readonly replace: true; readonly reason: "gone" | "draining" | "resigned" | "silent" | "partly unreachable" };
+
+/** Time without an answer to any host after which a primary is replaced, in milliseconds; several probes. */
+export const silenceMs = 650;
+/** Time for which a part of the hosts must fail to reach a primary before it is replaced, in milliseconds. */
+export const partialMs = 1_200;
+/** Part of the hosts that makes a primary worth replacing though the rest reach it. */
+const partialShare = 0.3;
+
+/** Weighs the evidence on one primary. */
+export function judge(evidence: Evidence): Verdict {
+    if (evidence.gone) {
+        return { replace: true, reason: "gone" };
+    }
+    if (evidence.resigned) {
+        return { replace: true, reason: "resigned" };
+    }
+    const all = [evidence.own, ...evidence.others];
+    const silent = (contact: Contact): boolean => (contact.answeredMs ?? Infinity) >= silenceMs;
+    if ((evidence.own.failingMs ?? -1) >= silenceMs && all.every(silent)) {
+        return { replace: true, reason: "silent" };
+    }
+    const failing = all.filter(contact => (contact.failingMs ?? -1) >= partialMs);
+    if (failing.length >= 2 && failing.length >= all.length * partialShare) {
+        return { replace: true, reason: "partly unreachable" };
+    }
+    if (evidence.draining) {
+        return { replace: true, reason: "draining" };
+    }
+    return { replace: false, reason: failing.length > 0 ? "suspected" : "healthy" };
+}
+
+/** A replica that answered. */
+export interface Heir {
+    readonly endpoint: string;
+    readonly received: positions.Position;
+    readonly draining: boolean;
+    /** Time to the endpoint and back, in milliseconds. */
+    readonly roundTripMs: number;
+}
+
+/**
+ * The replica to promote: the one that received most, so that the fewest commits are lost; among equals one that
+ * stays, then the nearest.
+ */
+export function choose(heirs: readonly Heir[]): Heir | undefined {
+    return [...heirs].sort((left, right) =>
+        positions.compare(right.received, left.received)
+        || Number(left.draining) - Number(right.draining)
+        || left.roundTripMs - right.roundTripMs
+    )[0];
+}
--- /dev/null
+++ b/src/platform/documents.ts
@@ -0,0 +1,108 @@
+/** What the platform keeps in its store, decoded into our own types. */
+import * as neverthrow from "neverthrow";
+import * as z from "zod";
+import type * as directory from "../core/directory.js";
+import type * as policies from "../core/policy.js";
+
+/** Key of the operators' configuration. */
+export const configurationKey = "op/config";
+/** Prefix of the keys that name endpoints, each ending in the endpoint's id. */
+export const endpointsPrefix = "servers/";
+
+const name = z.string().min(1);
+
+const wireRoute = z.object({
+    /** The database that callers name; no host of the network. */
+    hostname: name,
+    /** Database group. */
+    service: name,
+    kind: z.enum(["primary", "bounded_staleness", "read_your_writes"]),
+    timeout_ms: z.number().positive(),
+    target_latency_ms: z.number().positive().default(1_000),
+    priority: z.number().default(0),
+    max_staleness_ms: z.number().min(0).default(0),
+    public: z.boolean().default(false),
+});
+
+const wireConfiguration = z.object({
+    version: z.number().int().min(0),
+    routes: z.array(wireRoute),
+    services: z.array(z.object({ name, max_connections: z.number().int().min(1).default(16) })).default([]),
+    limits: z.object({ tx_idle_ms: z.number().min(0).default(0) }).default({ tx_idle_ms: 0 }),
+    tenants: z.array(z.object({
+        name,
+        api_keys: z.array(z.string()).default([]),
+        rate_per_s: z.number().min(0).default(0),
+        burst: z.number().min(0).default(0),
+    })).default([]),
+});
+
+function readRoute(route: z.infer<typeof wireRoute>): policies.Route {
+    const consistency: policies.Consistency = route.kind === "primary"
+        ? { kind: "primary" }
+        : {
+            kind: route.kind === "bounded_staleness" ? "bounded" : "session",
+            maxAgeMs: route.max_staleness_ms,
+        };
+    return {
+        database: route.hostname,
+        group: route.service,
+        consistency,
+        statementTimeoutMs: route.timeout_ms,
+        targetMs: route.target_latency_ms,
+        priority: route.priority,
+        open: route.public,
+    };
+}
+
+function parse<T>(schema: z.ZodType<T>, text: string): neverthrow.Result<T, string> {
+    try {
+        const checked = schema.safeParse(JSON.parse(text));
+        return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(checked.error.message);
+    }
+    catch (thrown) {
+        return neverthrow.err(String(thrown));
+    }
+}
+
+/** Reads the operators' configuration. */
+export function readPolicy(text: string): neverthrow.Result<policies.Policy, string> {
+    return parse(wireConfiguration, text).map(value => ({
+        version: value.version,
+        routes: new Map(value.routes.map(route => [route.hostname, readRoute(route)])),
+        groups: new Map(value.services.map(group => [
+            group.name,
+            { name: group.name, maxConnections: group.max_connections },
+        ])),
+        organisations: new Map(value.tenants.map(tenant => [
+            tenant.name,
+            { name: tenant.name, ratePerSecond: tenant.rate_per_s, burst: tenant.burst },
+        ])),
+        keys: new Map(value.tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
+        transactionIdleMs: value.limits.tx_idle_ms,
+    }));
+}
+
+const wireEndpoint = z.object({
+    service: name,
+    address: z.string().regex(/^[\d.]+:\d+$/),
+    zone: z.string(),
+    slots: z.number().int().min(1),
+    state: z.enum(["ready", "draining"]),
+    db_role: z.enum(["primary", "replica"]),
+    born: z.number().int().default(0),
+});
+
+/** Reads one endpoint's entry; the key tells its id. */
+export function readEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string> {
+    return parse(wireEndpoint, text).map(value => ({
+        id: key.slice(endpointsPrefix.length),
+        group: value.service,
+        address: value.address,
+        failureDomain: value.zone,
+        slots: value.slots,
+        draining: value.state === "draining",
+        primary: value.db_role === "primary",
+        born: value.born,
+    }));
+}
--- a/src/ports/runtime.ts
+++ b/src/ports/runtime.ts
@@ -10,6 +10,14 @@
     every(ms: number, action: () => void): () => void;
 }
 
+/** Both clocks of a host: only together do they show that it was suspended. */
+export interface HostClock extends Clock {
+    /** Time of day in milliseconds; it may jump and serves no other purpose than to notice suspensions. */
+    day(): number;
+    /** Calls once after the given time, unless the returned function is called before. */
+    after(ms: number, action: () => void): () => void;
+}
+
 /** Fields of a log line. */
 export type Fields = Readonly<Record<string, unknown>>;
 
--- /dev/null
+++ b/src/proxy/follower.ts
@@ -0,0 +1,271 @@
+/** Follows the store: this product's own keys, the operators' configuration and the list of endpoints. */
+import type * as neverthrow from "neverthrow";
+import type * as directory from "../core/directory.js";
+import * as policies from "../core/policy.js";
+import type * as runtime from "../ports/runtime.js";
+import type * as store from "../ports/store.js";
+import type * as events from "./events.js";
+import type * as messages from "./messages.js";
+import * as registry from "./registry.js";
+
+/** How the platform's documents are read. */
+export interface Documents {
+    readonly configurationKey: string;
+    readonly endpointsPrefix: string;
+    readPolicy(text: string): neverthrow.Result<policies.Policy, string>;
+    readEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string>;
+}
+
+/** Settings of a follower. */
+export interface Options {
+    readonly self: () => messages.Member;
+    readonly store: store.Store;
+    readonly documents: Documents;
+    readonly directory: directory.Directory;
+    readonly clock: runtime.HostClock;
+    readonly events: events.Events;
+    /** A number in [0, 1). */
+    random(): number;
+    /** Takes in this product's own keys as they were at the moment. */
+    contents(contents: registry.Contents, askedMs: number): void;
+    /** Called after the policy or the endpoints changed. */
+    changed(): void;
+}
+
+/** What this host knows from the store. */
+export interface Follower {
+    policy(): policies.Policy;
+    /** The configuration as stored. */
+    configuration(): { readonly version: number; readonly text: string };
+    /** Takes in a configuration that another host has. */
+    offer(text: string): void;
+    /** Takes in a listing of endpoints that another host has. */
+    offerEndpoints(listed: readonly directory.Endpoint[], atMs: number): void;
+    /** When the newest listing of endpoints was asked for; undefined without any. */
+    listedMs(): number | undefined;
+    /** Lease of this host's registration, while it certainly holds. */
+    lease(): number | undefined;
+    /** Time since the store last failed to answer within this host's limits; Infinity when it never did. */
+    steadyMs(): number;
+    /** Reads this product's own keys at once. */
+    refresh(): Promise<registry.Contents | undefined>;
+    /** Forgets what rests on ages. */
+    doubt(): void;
+    start(): void;
+    /** Ends the registration. */
+    leave(): Promise<void>;
+    close(): void;
+}
+
+/** Time between two reads of this product's own keys, in milliseconds; the proof they give lasts longer. */
+const contentsMs = 400;
+/** Time between two listings of endpoints, in milliseconds; well within the time that draining may take to be seen. */
+const endpointsMs = 1_000;
+/** Longest wait of one watch, in milliseconds: a watch that hears nothing is replaced by a read after it. */
+const watchMs = 1_500;
+/** Watches without news before the configuration is read all the same. */
+const quietWatches = 4;
+const retryMs = 250;
+/** Life of a host's registration without renewal, in milliseconds: bounds how long a dead host keeps its duty. */
+const leaseTtlMs = 2_500;
+const renewMs = 700;
+/** Held back from the lease's life, in milliseconds: the renewal's way and the jitter of timers. */
+const leaseMarginMs = 400;
+
+/** Creates a follower that knows nothing. */
+export function createFollower(options: Options): Follower {
+    const { clock, store: remote, events } = options;
+    let policy = policies.none;
+    let text = "";
+    let listedMs: number | undefined;
+    let registration: { readonly lease: number; readonly untilMs: number } | undefined;
+    let failedMs: number | undefined;
+    let down = false;
+    let closed = false;
+    let left = false;
+    const rejected = new Set<string>();
+
+    function note(trouble: store.Trouble | undefined): void {
+        if (trouble !== undefined && (trouble.kind === "refused" || trouble.kind === "unanswered")) {
+            failedMs = clock.now();
+            if (!down) {
+                down = true;
+                events.emit("storeLost", { reason: trouble.message, kind: trouble.kind });
+            }
+        }
+        else if (down) {
+            down = false;
+            events.emit("storeRegained", {});
+        }
+    }
+
+    function noted<T>(result: neverthrow.Result<T, store.Trouble>): neverthrow.Result<T, store.Trouble> {
+        note(result.isErr() ? result.error : undefined);
+        return result;
+    }
+
+    function offer(next: string): void {
+        if (next === text) {
+            return;
+        }
+        const read = options.documents.readPolicy(next);
+        if (read.isErr()) {
+            events.emit("policyRejected", { reason: read.error, version: policy.version });
+            return;
+        }
+        if (policies.later(policy, read.value) === policy) {
+            return;
+        }
+        events.emit("policyTaken", { version: read.value.version, replaced: policy.version });
+        policy = read.value;
+        text = next;
+        options.changed();
+    }
+
+    async function refresh(): Promise<registry.Contents | undefined> {
+        const askedMs = clock.now();
+        const got = noted(await remote.range(registry.prefix));
+        if (got.isErr()) {
+            return undefined;
+        }
+        const contents = registry.read(got.value.items);
+        contents.corrupt.forEach(key => events.emit("entryRejected", { key, reason: "unreadable" }));
+        options.contents(contents, askedMs);
+        return contents;
+    }
+
+    async function listEndpoints(): Promise<void> {
+        const askedMs = clock.now();
+        const got = noted(await remote.range(options.documents.endpointsPrefix));
+        if (got.isErr()) {
+            return;
+        }
+        const listed = got.value.items.flatMap(item => {
+            const read = options.documents.readEndpoint(item.key, item.value);
+            if (read.isErr()) {
+                if (!rejected.has(item.key)) {
+                    events.emit("entryRejected", { key: item.key, reason: read.error });
+                }
+                rejected.add(item.key);
+                return [];
+            }
+            rejected.delete(item.key);
+            return [read.value];
+        });
+        take(listed, askedMs);
+    }
+
+    function take(listed: readonly directory.Endpoint[], askedMs: number): void {
+        const print = (): string =>
+            JSON.stringify(options.directory.all().map(entry => [entry.id, entry.draining, entry.primary, entry.born]));
+        const before = print();
+        options.directory.replace(listed, askedMs);
+        listedMs = askedMs;
+        if (print() !== before) {
+            const endpoints = options.directory.all().map(entry => ({
+                id: entry.id,
+                group: entry.group,
+                draining: entry.draining,
+                primary: entry.primary,
+            }));
+            events.emit("endpointsChanged", { endpoints });
+            options.changed();
+        }
+    }
+
+    async function readConfiguration(): Promise<number | undefined> {
+        const got = noted(await remote.read(options.documents.configurationKey));
+        if (got.isErr()) {
+            return undefined;
+        }
+        offer(got.value.item.value);
+        return got.value.revision;
+    }
+
+    async function followConfiguration(): Promise<void> {
+        let after = await readConfiguration();
+        for (let quiet = 0; !closed && after !== undefined; quiet += 1) {
+            const waited = noted(await remote.watch(options.documents.configurationKey, after, watchMs));
+            if (waited.isErr()) {
+                return;
+            }
+            after = waited.value.revision;
+            if (waited.value.changed || quiet >= quietWatches) {
+                return;
+            }
+        }
+    }
+
+    async function register(): Promise<void> {
+        const askedMs = clock.now();
+        const held = registration;
+        if (held !== undefined) {
+            const renewed = noted(await remote.renew(held.lease));
+            if (renewed.isOk()) {
+                registration = { lease: held.lease, untilMs: askedMs + leaseTtlMs - leaseMarginMs };
+                return;
+            }
+            if (renewed.error.kind !== "missing") {
+                return;
+            }
+            registration = undefined;
+        }
+        const granted = noted(await remote.grant(leaseTtlMs));
+        if (granted.isErr() || left) {
+            return;
+        }
+        const { lease, ttlMs } = granted.value;
+        const self = options.self();
+        const writes = [{ key: registry.hostKey(self.id), value: JSON.stringify(self), lease }];
+        const written = noted(await remote.change({ conditions: [], writes, deletes: [] }));
+        if (written.isOk()) {
+            registration = { lease, untilMs: askedMs + Math.min(ttlMs, leaseTtlMs) - leaseMarginMs };
+        }
+    }
+
+    async function repeat(work: () => Promise<unknown>, pauseMs: number): Promise<void> {
+        while (!closed) {
+            await work();
+            // Spread, so that hosts that start together do not call together.
+            await clock.sleep(pauseMs * (0.8 + 0.4 * options.random()));
+        }
+    }
+
+    return {
+        offer,
+        refresh,
+        policy: () => policy,
+        configuration: () => ({ version: policy.version, text }),
+        offerEndpoints(listed, atMs) {
+            if (atMs > (listedMs ?? -Infinity)) {
+                take(listed, atMs);
+            }
+        },
+        listedMs: () => listedMs,
+        lease:
+            () => (registration !== undefined && registration.untilMs > clock.now() ? registration.lease : undefined),
+        steadyMs: () => (failedMs === undefined ? Infinity : clock.now() - failedMs),
+        doubt() {
+            if (registration !== undefined) {
+                registration = { ...registration, untilMs: -Infinity };
+            }
+        },
+        start() {
+            void repeat(register, renewMs);
+            void repeat(refresh, contentsMs);
+            void repeat(listEndpoints, endpointsMs);
+            void repeat(followConfiguration, retryMs);
+        },
+        async leave() {
+            left = true;
+            if (registration !== undefined) {
+                await remote.end(registration.lease);
+                registration = undefined;
+            }
+        },
+        close() {
+            closed = true;
+            remote.close();
+        },
+    };
+}
--- /dev/null
+++ b/src/proxy/metrics.ts
@@ -0,0 +1,110 @@
+/** Counters and latency histograms of one host, in the Prometheus format. */
+import * as http from "node:http";
+import * as prometheus from "prom-client";
+import type * as failure from "../core/failure.js";
+import type * as caller from "../ports/caller.js";
+import type * as sessions from "./session.js";
+
+/** Current levels, read when the metrics are asked for. */
+export interface Levels {
+    readonly load: Readonly<Record<string, number>>;
+    readonly connections: Readonly<Record<string, number>>;
+    readonly callers: number;
+    readonly version: number;
+    readonly proofAgeMs: number;
+    readonly duty: boolean;
+}
+
+/** Metrics of one host. */
+export interface Metrics extends sessions.Measures {
+    /** Counts a call to the platform. */
+    call(kind: string, result: string): void;
+    print(): Promise<string>;
+}
+
+/** Upper bounds of the latency buckets, in seconds. */
+const buckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6];
+
+/** Creates metrics. */
+export function createMetrics(levels: () => Levels): Metrics {
+    const registry = new prometheus.Registry();
+    const registers = [registry];
+    const served = new prometheus.Counter({
+        name: "hyssophatch_statements_served_total",
+        help: "Statements served, by mode and by the role of the endpoint.",
+        labelNames: ["organisation", "mode", "role"],
+        registers,
+    });
+    const refused = new prometheus.Counter({
+        name: "hyssophatch_statements_refused_total",
+        help: "Statements and operations not served, by result code.",
+        labelNames: ["organisation", "code"],
+        registers,
+    });
+    const latency = new prometheus.Histogram({
+        name: "hyssophatch_statement_seconds",
+        help: "Time from receipt to answer.",
+        labelNames: ["database", "outcome"],
+        buckets,
+        registers,
+    });
+    const calls = new prometheus.Counter({
+        name: "hyssophatch_platform_calls_total",
+        help: "Calls to the platform, by kind and result.",
+        labelNames: ["kind", "result"],
+        registers,
+    });
+    const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
+    const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
+    const callers = gauge("hyssophatch_callers", "Connections of callers.", []);
+    const version = gauge("hyssophatch_configuration_version", "Version of the configuration in force.", []);
+    const proof = gauge("hyssophatch_record_proof_age_seconds", "Age of the proof of the records.", []);
+    const duty = gauge("hyssophatch_promotion_duty", "1 on the host that replaces primaries.", []);
+
+    function gauge(name: string, help: string, labelNames: readonly string[]): prometheus.Gauge {
+        return new prometheus.Gauge({ name, help, labelNames: [...labelNames], registers });
+    }
+
+    return {
+        served(database, organisation, primary, mode: caller.Mode, elapsedMs) {
+            served.inc({ organisation, mode, role: primary ? "primary" : "replica" });
+            latency.observe({ database, outcome: "served" }, elapsedMs / 1_000);
+        },
+        refused(database, organisation, code: failure.Code, elapsedMs) {
+            refused.inc({ organisation, code: String(code) });
+            latency.observe({ database, outcome: "refused" }, elapsedMs / 1_000);
+        },
+        call: (kind, result) => calls.inc({ kind, result }),
+        print() {
+            const now = levels();
+            load.reset();
+            open.reset();
+            Object.entries(now.load).forEach(([endpoint, value]) => load.set({ endpoint }, value));
+            Object.entries(now.connections).forEach(([endpoint, value]) => open.set({ endpoint }, value));
+            callers.set(now.callers);
+            version.set(now.version);
+            proof.set(Math.min(now.proofAgeMs, Number.MAX_SAFE_INTEGER) / 1_000);
+            duty.set(now.duty ? 1 : 0);
+            return registry.metrics();
+        },
+    };
+}
+
+/** Serves the metrics. */
+export async function listen(host: string, port: number, metrics: Metrics): Promise<http.Server> {
+    const server = http.createServer((request, response) => {
+        if (request.url !== "/metrics") {
+            response.writeHead(404).end();
+            return;
+        }
+        metrics.print().then(
+            text => response.writeHead(200, { "content-type": prometheus.prometheusContentType }).end(text),
+            (thrown: unknown) => response.writeHead(500).end(String(thrown)),
+        );
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, resolve);
+    });
+    return server;
+}
--- /dev/null
+++ b/src/proxy/peers.ts
@@ -0,0 +1,254 @@
+/** The other hosts: who they are, what they said last, and the exchange with them. */
+import type * as allowances from "../core/allowance.js";
+import * as failure from "../core/failure.js";
+import type * as messages from "../ports/messages.js";
+import type * as network from "../ports/network.js";
+import type * as runtime from "../ports/runtime.js";
+import type * as events from "./events.js";
+import * as protocol from "./messages.js";
+
+/** Settings of the exchange. */
+export interface Options {
+    readonly self: protocol.Member;
+    readonly seeds: readonly string[];
+    readonly network: network.Network;
+    readonly clock: runtime.HostClock;
+    readonly events: events.Events;
+    /** A number in [0, 1). */
+    random(): number;
+    digest(): protocol.Digest;
+    /** Takes in what another host said; the moment is when it was asked, absent when it spoke first. */
+    heard(digest: protocol.Digest, askedMs: number | undefined): void;
+}
+
+/** Another host. */
+export interface Peer {
+    readonly member: protocol.Member;
+    /** What it said last. */
+    readonly digest: protocol.Digest | undefined;
+    readonly heardMs: number;
+    /** When its address last refused a connection: no host ran there. */
+    readonly refusedMs: number;
+}
+
+/** The other hosts. */
+export interface Peers {
+    /** Takes in the hosts registered in the store. */
+    register(members: readonly protocol.Member[]): void;
+    /** Hosts heard lately, this one excluded. */
+    heard(): readonly Peer[];
+    /** Hosts that exist as far as known, this one excluded. */
+    all(): readonly Peer[];
+    /** Answers another host. */
+    answer(digest: protocol.Digest): protocol.Digest;
+    call<Request, Reply>(
+        member: protocol.Member,
+        method: messages.Method<Request, Reply>,
+        request: Request,
+        timeoutMs: number,
+    ): network.Outcome<Reply>;
+    /** What the hosts ask for, for the shares of limits. */
+    fleet(): allowances.Fleet;
+    /** Statements at an endpoint from the other hosts. */
+    load(endpoint: string): number;
+    start(): void;
+    /** Tells the others at once that this host leaves. */
+    tell(): Promise<void>;
+    close(): void;
+}
+
+/** Time between two exchanges with the same host of a small fleet, in milliseconds. */
+const intervalMs = 250;
+/** Hosts asked in one round; a round among more picks some at random. */
+const fanOut = 5;
+const timeoutMs = 400;
+/** Silence after which a host counts as not heard, in milliseconds: three exchanges. */
+const silentMs = 900;
+/** Silence after which a host that is not registered is forgotten, in milliseconds. */
+const forgetMs = 15_000;
+/** Time for which failed exchanges go on before the connection is replaced, in milliseconds. */
+const staleMs = 400;
+
+interface Entry {
+    member: protocol.Member;
+    digest: protocol.Digest | undefined;
+    heardMs: number;
+    refusedMs: number;
+    registered: boolean;
+    lost: boolean;
+    channel: network.Channel | undefined;
+}
+
+/** Creates a view without other hosts. */
+export function createPeers(options: Options): Peers {
+    const { clock, self } = options;
+    const entries = new Map<string, Entry>();
+    let stop: (() => void) | undefined;
+    let pending = new Set<string>();
+
+    function note(member: protocol.Member): Entry {
+        const known = entries.get(member.id);
+        if (known !== undefined && known.member.incarnation === member.incarnation) {
+            return known;
+        }
+        known?.channel?.close();
+        const created: Entry = {
+            member,
+            digest: undefined,
+            heardMs: clock.now(),
+            refusedMs: -Infinity,
+            registered: false,
+            lost: true,
+            channel: undefined,
+        };
+        entries.set(member.id, created);
+        return created;
+    }
+
+    function hear(digest: protocol.Digest, askedMs: number | undefined): void {
+        if (digest.self.id === self.id) {
+            return;
+        }
+        const entry = note(digest.self);
+        if (entry.lost) {
+            options.events.emit("peerRegained", { peer: digest.self.id, incarnation: digest.self.incarnation });
+        }
+        entry.member = digest.self;
+        entry.digest = digest;
+        entry.heardMs = clock.now();
+        entry.lost = false;
+        for (const member of digest.known) {
+            if (member.id !== self.id && !entries.has(member.id)) {
+                note(member);
+            }
+        }
+        options.heard(digest, askedMs);
+    }
+
+    function silent(entry: Entry): boolean {
+        return entry.digest === undefined || clock.now() - entry.heardMs > silentMs;
+    }
+
+    function channel(entry: Entry): network.Channel {
+        entry.channel ??= options.network.channel(entry.member.address);
+        return entry.channel;
+    }
+
+    async function exchange(entry: Entry): Promise<void> {
+        const { id } = entry.member;
+        if (pending.has(id)) {
+            return;
+        }
+        pending.add(id);
+        const askedMs = clock.now();
+        const used = channel(entry);
+        const reply = await used.call(protocol.peer.exchange, options.digest(), timeoutMs);
+        pending.delete(id);
+        if (reply.isOk()) {
+            hear(reply.value, askedMs);
+            return;
+        }
+        if (reply.error.code === failure.Code.ownerUnreachable) {
+            entry.refusedMs = askedMs;
+        }
+        // A connection may have gone silent while the host is well: the next attempt opens another.
+        if (clock.now() - askedMs >= staleMs * 0.9 && entry.channel === used) {
+            used.close();
+            entry.channel = undefined;
+        }
+        if (silent(entry) && !entry.lost) {
+            entry.lost = true;
+            options.events.emit("peerLost", { peer: id, reason: reply.error.message });
+        }
+    }
+
+    async function greet(address: string): Promise<void> {
+        const askedMs = clock.now();
+        const temporary = options.network.channel(address);
+        const reply = await temporary.call(protocol.peer.exchange, options.digest(), timeoutMs);
+        temporary.close();
+        if (reply.isOk()) {
+            hear(reply.value, askedMs);
+        }
+    }
+
+    function pick(): readonly Entry[] {
+        const left = [...entries.values()];
+        const chosen: Entry[] = [];
+        while (left.length > 0 && chosen.length < fanOut) {
+            chosen.push(...left.splice(Math.floor(options.random() * left.length), 1));
+        }
+        return chosen;
+    }
+
+    function round(): void {
+        const nowMs = clock.now();
+        for (const [id, entry] of entries) {
+            if (!entry.registered && nowMs - entry.heardMs > forgetMs) {
+                entry.channel?.close();
+                entries.delete(id);
+            }
+        }
+        pick().forEach(entry => void exchange(entry));
+        const strangers = options.seeds.filter(address =>
+            address !== self.address && ![...entries.values()].some(entry => entry.member.address === address)
+        );
+        const seed = strangers[Math.floor(options.random() * strangers.length)];
+        if (seed !== undefined && heard().length === 0) {
+            void greet(seed);
+        }
+    }
+
+    function heard(): readonly Entry[] {
+        return [...entries.values()].filter(entry => !silent(entry));
+    }
+
+    return {
+        heard,
+        all: () => [...entries.values()],
+        register(members) {
+            const others = members.filter(member => member.id !== self.id);
+            const ids = new Set(others.map(member => member.id));
+            others.forEach(member => {
+                const entry = entries.get(member.id);
+                // The store's listing lags: it does not replace a process that was heard lately.
+                if (entry === undefined || silent(entry)) {
+                    note(member);
+                }
+            });
+            entries.forEach((entry, id) => {
+                entry.registered = ids.has(id);
+            });
+        },
+        answer(digest) {
+            hear(digest, undefined);
+            return options.digest();
+        },
+        call(member, method, request, limitMs) {
+            const entry = entries.get(member.id);
+            return (entry === undefined ? options.network.channel(member.address) : channel(entry))
+                .call(method, request, limitMs);
+        },
+        fleet() {
+            const active = heard().filter(entry => !entry.member.leaving);
+            const others = active.flatMap(entry => (entry.digest === undefined ? [] : [entry.digest.demand]));
+            const unheard = [...entries.values()].filter(entry => silent(entry) && entry.registered).length;
+            return { others, unheard };
+        },
+        load: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.load[endpoint] ?? 0), 0),
+        start() {
+            round();
+            stop = clock.every(intervalMs, round);
+        },
+        async tell() {
+            await Promise.all(
+                heard().map(entry => channel(entry as Entry).call(protocol.peer.exchange, options.digest(), timeoutMs)),
+            );
+        },
+        close() {
+            stop?.();
+            pending = new Set();
+            entries.forEach(entry => entry.channel?.close());
+        },
+    };
+}
--- /dev/null
+++ b/src/proxy/pool.ts
@@ -0,0 +1,255 @@
+/**
+ * Connections of this host to one endpoint. A connection belongs to the organisation it was opened for; a free
+ * one of another organisation is closed to make room. Statements wait here in fair order, not at the endpoint.
+ */
+import * as neverthrow from "neverthrow";
+import * as failure from "../core/failure.js";
+import * as queues from "../core/queue.js";
+import type * as connections from "../ports/connection.js";
+import type * as runtime from "../ports/runtime.js";
+
+/** Session values that statements rely on. */
+export type Values = ReadonlyMap<string, string>;
+
+/** Settings of a pool. */
+export interface Options {
+    readonly endpoint: string;
+    readonly group: string;
+    readonly address: string;
+    readonly slots: number;
+    readonly dialer: connections.Dialer;
+    readonly clock: runtime.HostClock;
+    /** Connections that this host may keep open. */
+    share(): number;
+    /** Told how each attempt to reach the endpoint went. */
+    reached(answered: boolean): void;
+}
+
+/** One statement's claim. */
+export interface Claim {
+    readonly organisation: string;
+    readonly values: Values;
+    readonly deadlineMs: number;
+}
+
+/** A connection in use. */
+export interface Lease {
+    readonly connection: connections.Connection;
+    /** Values set on the connection. */
+    readonly values: Map<string, string>;
+    /** Handles of statements prepared on the connection, by mode and shape. */
+    readonly prepared: Map<string, string>;
+    /** Gives the connection back; it must be outside any transaction. */
+    release(): void;
+    /** Closes the connection. */
+    discard(): void;
+}
+
+/** Connections to one endpoint. */
+export interface Pool {
+    acquire(claim: Claim): Promise<neverthrow.Result<Lease, failure.Failure>>;
+    /** True when a connection of the organisation is open and free. */
+    warm(organisation: string): boolean;
+    /** Statements running and waiting. */
+    load(): number;
+    size(): number;
+    /** Closes what is free and refuses what waits; connections in use close when they are given back. */
+    close(): void;
+}
+
+interface Held {
+    readonly connection: connections.Connection;
+    readonly organisation: string;
+    readonly values: Map<string, string>;
+    readonly prepared: Map<string, string>;
+    freeMs: number;
+}
+
+interface Job {
+    readonly claim: Claim;
+    readonly settle: (result: neverthrow.Result<Lease, failure.Failure>) => void;
+}
+
+const queueLength = 256;
+/** Time to open a connection, in milliseconds; several handshakes over the longest link. */
+const dialTimeoutMs = 700;
+/** Connections above the share that a pool may open while others leave room. */
+const stretch = 2;
+/** Time for which a pool keeps to its share after the endpoint had no room, in milliseconds. */
+const crowdedMs = 2_000;
+/** Time after which a free connection above the share is closed, in milliseconds. */
+const idleMs = 500;
+const sweepMs = 50;
+/** Pause before another attempt at an endpoint without room, in milliseconds. */
+const roomMs = 25;
+const retryMs = 100;
+
+/** Creates a pool without connections. */
+export function createPool(options: Options): Pool {
+    const { clock } = options;
+    const queue = queues.createQueue<Job>({ length: queueLength, slots: options.slots, weight: () => 1 });
+    let free: Held[] = [];
+    let busy = 0;
+    let crowdedUntilMs = -Infinity;
+    let closed = false;
+
+    function limit(): number {
+        const share = Math.max(1, options.share());
+        return clock.now() < crowdedUntilMs ? share : share + stretch;
+    }
+
+    function overloaded(retryAfterMs: number): failure.Failure {
+        const message = `Endpoint ${options.endpoint} has too many statements waiting.`;
+        return failure.create(failure.Code.overloaded, options.endpoint, message, retryAfterMs);
+    }
+
+    function take(claim: Claim): Held | undefined {
+        free = free.filter(held => held.connection.open());
+        const own = free.filter(held => held.organisation === claim.organisation);
+        const chosen = own.find(held => same(held.values, claim.values)) ?? own[own.length - 1];
+        if (chosen !== undefined) {
+            free = free.filter(held => held !== chosen);
+        }
+        return chosen;
+    }
+
+    function makeRoom(): void {
+        while (free.length > 0 && busy + free.length > limit()) {
+            const oldest = free.reduce((best, next) => (next.freeMs < best.freeMs ? next : best));
+            free = free.filter(held => held !== oldest);
+            oldest.connection.close();
+        }
+    }
+
+    function lend(held: Held): Lease {
+        const startMs = clock.now();
+        let returned = false;
+        const end = (keep: boolean): void => {
+            if (returned) {
+                return;
+            }
+            returned = true;
+            busy -= 1;
+            queue.observe(clock.now() - startMs);
+            if (keep && !closed && held.connection.open()) {
+                held.freeMs = clock.now();
+                free.push(held);
+            }
+            else {
+                held.connection.close();
+            }
+            dispatch();
+        };
+        return {
+            connection: held.connection,
+            values: held.values,
+            prepared: held.prepared,
+            release: () => end(true),
+            discard: () => end(false),
+        };
+    }
+
+    async function dial(claim: Claim): Promise<neverthrow.Result<Held, failure.Failure>> {
+        const { endpoint, group, address } = options;
+        for (;;) {
+            const leftMs = claim.deadlineMs - clock.now();
+            if (leftMs <= 0 || closed) {
+                return neverthrow.err(overloaded(retryMs));
+            }
+            const target = { endpoint, group, address, organisation: claim.organisation };
+            const dialed = await options.dialer.dial(target, Math.min(dialTimeoutMs, leftMs));
+            if (dialed.isOk()) {
+                options.reached(true);
+                const { organisation } = claim;
+                return neverthrow.ok({
+                    connection: dialed.value,
+                    organisation,
+                    values: new Map(),
+                    prepared: new Map(),
+                    freeMs: clock.now(),
+                });
+            }
+            if (dialed.error !== "tooMany") {
+                const refused = typeof dialed.error === "string";
+                options.reached(refused && dialed.error !== "misrouted");
+                const why = typeof dialed.error === "string" ? dialed.error : dialed.error.message;
+                const message = `Endpoint ${endpoint} can't be reached: ${why}.`;
+                return neverthrow.err(failure.create(failure.Code.endpointUnreachable, endpoint, message, retryMs));
+            }
+            crowdedUntilMs = clock.now() + crowdedMs;
+            await clock.sleep(roomMs);
+        }
+    }
+
+    async function start(job: Job): Promise<void> {
+        const held = take(job.claim);
+        busy += 1;
+        if (held !== undefined) {
+            job.settle(neverthrow.ok(lend(held)));
+            return;
+        }
+        makeRoom();
+        const dialed = await dial(job.claim);
+        if (dialed.isErr()) {
+            busy -= 1;
+            job.settle(neverthrow.err(dialed.error));
+            dispatch();
+            return;
+        }
+        job.settle(neverthrow.ok(lend(dialed.value)));
+    }
+
+    function dispatch(): void {
+        while (busy < limit()) {
+            const ticket = queue.take();
+            if (ticket === undefined) {
+                return;
+            }
+            void start(ticket.value);
+        }
+    }
+
+    function sweep(): void {
+        const nowMs = clock.now();
+        queue.expire(nowMs).forEach(ticket => ticket.value.settle(neverthrow.err(overloaded(retryMs))));
+        const spare = busy + free.length - Math.max(1, options.share());
+        const stale = free.filter(held => nowMs - held.freeMs > idleMs).slice(0, Math.max(0, spare));
+        if (stale.length > 0) {
+            free = free.filter(held => !stale.includes(held));
+            stale.forEach(held => held.connection.close());
+        }
+        dispatch();
+    }
+
+    const stop = clock.every(sweepMs, sweep);
+    return {
+        acquire(claim) {
+            return new Promise(settle => {
+                if (closed) {
+                    settle(neverthrow.err(overloaded(retryMs)));
+                    return;
+                }
+                const { organisation, deadlineMs } = claim;
+                const offered = queue.offer({ organisation, deadlineMs, value: { claim, settle } }, clock.now());
+                if (!offered.admitted) {
+                    settle(neverthrow.err(overloaded(offered.retryAfterMs)));
+                    return;
+                }
+                dispatch();
+            });
+        },
+        warm: organisation => free.some(held => held.organisation === organisation && held.connection.open()),
+        load: () => busy + queue.length(),
+        size: () => busy + free.length,
+        close() {
+            closed = true;
+            stop();
+            free.splice(0).forEach(held => held.connection.close());
+            queue.expire(Infinity).forEach(ticket => ticket.value.settle(neverthrow.err(overloaded(retryMs))));
+        },
+    };
+}
+
+function same(left: Values, right: Values): boolean {
+    return left.size === right.size && [...left].every(([name, value]) => right.get(name) === value);
+}
--- /dev/null
+++ b/src/proxy/settings.ts
@@ -0,0 +1,60 @@
+/** The settings of one host on a platform that has database groups with terms: a JSON file, checked. */
+import * as neverthrow from "neverthrow";
+import * as fs from "node:fs";
+import * as z from "zod";
+import * as failure from "../core/failure.js";
+
+const address = z.string().regex(/^[^\s:]+:\d+$/, "An address is HOST:PORT.").transform(text => {
+    const separator = text.lastIndexOf(":");
+    return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
+});
+const name = z.string().min(1).max(200);
+
+/** Schema of the settings file. */
+export const schema = z.strictObject({
+    id: name,
+    region: name,
+    failureDomain: name,
+    /** Region of each failure domain. */
+    failureDomains: z.record(z.string(), z.string()).default({}),
+    /** Where callers connect. */
+    callers: address,
+    /** Where the platform asks whether this host is ready. */
+    readiness: address,
+    /** Where other hosts connect. */
+    peers: address,
+    /** Addresses of hosts to ask while the store can't be had. */
+    seeds: z.array(z.string()).readonly().default([]),
+    store: z.string(),
+    promotions: z.string(),
+    /** Port of the metrics, on the address for callers. */
+    metricsPort: z.number().int().min(0).max(65_535).default(9_464),
+    /** Time between a request to stop and the end, in milliseconds. */
+    graceMs: z.number().min(100).default(6_000),
+    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+}).readonly();
+
+/** Settings of one host. */
+export type Settings = z.infer<typeof schema>;
+
+/** Checks settings. */
+export function parse(input: unknown): neverthrow.Result<Settings, failure.Failure> {
+    const parsed = schema.safeParse(input);
+    if (parsed.success) {
+        return neverthrow.ok(parsed.data);
+    }
+    const issues = parsed.error.issues.map(issue => `${issue.path.join(".") || "settings"}: ${issue.message}`);
+    const subject = parsed.error.issues[0]?.path.join(".") || "settings";
+    return neverthrow.err(failure.create(failure.Code.configurationInvalid, subject, issues.join(" ")));
+}
+
+/** Reads and checks a settings file. */
+export function load(file: string): neverthrow.Result<Settings, failure.Failure> {
+    try {
+        return parse(JSON.parse(fs.readFileSync(file, "utf8")));
+    }
+    catch (thrown) {
+        const message = `The settings file ${file} can't be read: ${String(thrown)}.`;
+        return neverthrow.err(failure.create(failure.Code.configurationInvalid, file, message));
+    }
+}
