--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -20,11 +20,20 @@
     readonly warm: boolean;
     /** Newest position that the endpoint is known to have applied. */
     readonly applied: positions.Position | undefined;
+    /** Time by which the endpoint is taken to lag, in milliseconds. */
+    readonly lagMs: number;
+}
+
+/** The position that a read has to see. */
+export interface Floor {
+    readonly position: positions.Position;
+    /** Time since the position was reached, in milliseconds. */
+    readonly ageMs: number;
 }
 
 /** What a read asks for. */
 export interface Need {
-    readonly floor: positions.Position | undefined;
+    readonly floor: Floor | undefined;
     /** Endpoints that have been tried. */
     readonly tried: ReadonlySet<string>;
 }
@@ -32,7 +41,7 @@
 /** Why an endpoint was turned down. */
 export interface Rejection {
     readonly endpoint: string;
-    readonly reason: "draining" | "tried" | "suspect" | "not primary" | "slower";
+    readonly reason: "draining" | "tried" | "not primary" | "slower";
     readonly expectedMs?: number;
 }
 
@@ -50,16 +59,27 @@
 /** Cost of a read at the primary, whose slots the writes need, in milliseconds. */
 const primaryMs = 25;
 
+/** Cost of an endpoint that did not answer lately, in milliseconds: it is the last resort. */
+const suspectMs = 2_000;
+
+/** True when the endpoint is likely to answer that it lacks the position. */
+function lacks(candidate: Candidate, floor: Floor | undefined): boolean {
+    if (floor === undefined || candidate.primary || floor.ageMs > candidate.lagMs) {
+        return false;
+    }
+    return candidate.applied === undefined || positions.compare(candidate.applied, floor.position) < 0;
+}
+
 /** Time until an answer is expected from the endpoint, in milliseconds. */
-export function expect(candidate: Candidate, floor: positions.Position | undefined): number {
+export function expect(candidate: Candidate, floor: Floor | undefined): number {
     const queued = Math.max(0, candidate.load + 1 - candidate.slots) / candidate.slots;
-    const behind = floor !== undefined && !candidate.primary
-        && (candidate.applied === undefined || positions.compare(candidate.applied, floor) < 0);
+    const behind = lacks(candidate, floor);
     return candidate.roundTripMs
         + candidate.serviceMs * (1 + queued)
         + (candidate.warm ? 0 : openingMs + candidate.roundTripMs)
         + (behind ? behindMs : 0)
-        + (candidate.primary ? primaryMs : 0);
+        + (candidate.primary ? primaryMs : 0)
+        + (candidate.suspect ? suspectMs : 0);
 }
 
 /** Chooses where a read goes. Without a floor only the primary can serve it. */
@@ -84,9 +104,6 @@
     if (need.tried.has(candidate.endpoint)) {
         return "tried";
     }
-    if (candidate.suspect) {
-        return "suspect";
-    }
     if (need.floor === undefined && !candidate.primary) {
         return "not primary";
     }
--- a/src/core/samples.ts
+++ b/src/core/samples.ts
@@ -57,8 +57,3 @@
         },
     };
 }
-
-/** The higher of a read's two floors; a floor of an earlier term is covered by any sample of a later one. */
-export function floor(sample: positions.Position, own: positions.Position | undefined): positions.Position {
-    return own === undefined ? sample : positions.max(sample, own);
-}
--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -31,6 +31,8 @@
     readonly socket: net.Socket;
     session: caller.Session | undefined;
     running: boolean;
+    /** True once this host has closed the connection; what still arrives is not run. */
+    closing: boolean;
 }
 
 /** Requests that a caller may send ahead of answers before its connection is not read further. */
@@ -44,7 +46,7 @@
     const lines = new Set<Line>();
 
     function accept(socket: net.Socket): void {
-        const line: Line = { socket, session: undefined, running: false };
+        const line: Line = { socket, session: undefined, running: false, closing: false };
         const splitter = wire.createSplitter();
         const waiting: wire.CallerMessage[] = [];
         lines.add(line);
@@ -67,6 +69,7 @@
         }
 
         function finish(text: string): void {
+            line.closing = true;
             if (!socket.destroyed) {
                 socket.end(text, wire.encoding);
             }
@@ -123,6 +126,9 @@
         }
 
         socket.on("data", (piece: string) => {
+            if (line.closing) {
+                return;
+            }
             const cut = splitter.push(piece);
             if (cut.isErr()) {
                 const cause = failure.create(failure.Code.tooLarge, "message", "The message is longer than 1 MiB.");
@@ -159,6 +165,7 @@
         closeIdle() {
             lines.forEach(line => {
                 if (!line.running && line.session?.idle() !== false) {
+                    line.closing = true;
                     line.socket.end();
                 }
             });
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -5,7 +5,6 @@
 import * as grpc from "../adapters/grpc.js";
 import * as allowances from "../core/allowance.js";
 import * as directories from "../core/directory.js";
-import * as suspensions from "../core/suspension.js";
 import * as tenure from "../core/tenure.js";
 import * as lifecycles from "../daemon/lifecycle.js";
 import type * as caller from "../ports/caller.js";
@@ -13,17 +12,20 @@
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
+import * as entrances from "./entrance.js";
 import * as eventsPart from "./events.js";
 import * as followers from "./follower.js";
-import * as groupsPart from "./group.js";
+import type * as groupsPart from "./group.js";
+import * as knowledges from "./knowledge.js";
 import * as messages from "./messages.js";
 import * as metricsPart from "./metrics.js";
 import * as peersPart from "./peers.js";
+import * as probesPart from "./probes.js";
 import * as promoters from "./promoter.js";
-import type * as registry from "./registry.js";
+import * as replacement from "./replacement.js";
 import * as runners from "./runner.js";
-import * as sessions from "./session.js";
 import type * as settingsFile from "./settings.js";
+import * as transactions from "./transactions.js";
 
 /** The listener for callers. */
 export interface Callers {
@@ -80,9 +82,6 @@
 const shareMs = 250;
 const flushMs = 5_000;
 const catalogueMs = 1_000;
-const catalogueTimeoutMs = 1_000;
-/** Connections of each endpoint kept free for probes and for hosts that are just starting. */
-const reservedConnections = 2;
 /** Time in which the platform takes a host that is not ready out of rotation, in milliseconds: two misses. */
 const rotationMs = 2_300;
 const drainPollMs = 50;
@@ -99,6 +98,10 @@
     allowance: Symbol.for("allowance"),
     peers: Symbol.for("peers"),
     follower: Symbol.for("follower"),
+    knowledge: Symbol.for("knowledge"),
+    duty: Symbol.for("duty"),
+    probes: Symbol.for("probes"),
+    replacements: Symbol.for("replacements"),
     promoter: Symbol.for("promoter"),
     metrics: Symbol.for("metrics"),
     entrance: Symbol.for("entrance"),
@@ -109,8 +112,6 @@
     const { settings, clock, log } = surroundings;
     const container = new inversify.Container();
     const lifecycle = lifecycles.createLifecycle(log);
-    const suspension = suspensions.createSuspension();
-    const groups = new Map<string, groupsPart.Group>();
     let self: messages.Member = {
         id: settings.id,
         address: `${settings.peers.host}:${settings.peers.port}`,
@@ -118,12 +119,14 @@
         incarnation: surroundings.incarnation,
         leaving: false,
     };
-    let steppedMs = -Infinity;
     let callers: Callers | undefined;
     let stopping = false;
     let refusing = false;
     let wasReady = false;
-    let wasProven = false;
+    let stopTimers: readonly (() => void)[] = [];
+    let peerServer: grpc.Server | undefined;
+    let readiness: { close(): void } | undefined;
+    let metricsServer: { close(): void } | undefined;
 
     container.bind(id.clock).toConstantValue(clock);
     container.bind(id.events).toConstantValue(eventsPart.createEvents(log, clock));
@@ -141,12 +144,13 @@
         peersPart.createPeers({
             self,
             seeds: settings.seeds,
+            near: domain => settings.failureDomains[domain] === settings.region,
             network: container.get(id.network),
             clock,
             events: events(),
             random: surroundings.random,
-            digest,
-            heard,
+            digest: () => knowledge().digest(),
+            heard: (told, askedMs) => knowledge().heard(told, askedMs),
         })
     ).inSingletonScope();
     container.bind(id.follower).toDynamicValue(() =>
@@ -158,38 +162,68 @@
             clock,
             events: events(),
             random: surroundings.random,
-            contents: read,
-            changed,
+            proofAgeMs: () => tenures().ageMs(clock.now()),
+            dutiful: () => container.get<promoters.DutyHolder>(id.duty).token() !== undefined,
+            contents: (contents, askedMs) => knowledge().read(contents, askedMs),
+            changed: () => knowledge().changed(),
         })
     ).inSingletonScope();
-    container.bind(id.promoter).toDynamicValue(() =>
-        promoters.createPromoter({
-            self,
+    container.bind(id.knowledge).toDynamicValue(() =>
+        knowledges.createKnowledge({
+            ...settings,
             clock,
             events: events(),
-            store: platform().store,
-            promotions: platform().promotions,
+            random: surroundings.random,
+            tenures: tenures(),
+            directory: directory(),
+            allowance: allowance(),
+            dialer: platform().dialer,
+            self: () => self,
+            peers,
+            follower,
+            promoter,
+            updated: noteReadiness,
+        })
+    ).inSingletonScope();
+    container.bind(id.duty).toConstantValue(promoters.createDutyHolder(() => follower()));
+    container.bind(id.probes).toDynamicValue(() =>
+        probesPart.createProbes({
+            clock,
             dialer: platform().dialer,
-            follower: follower(),
-            peers: peers(),
+            account: () => [...follower().policy().organisations.keys()][0],
+        })
+    ).inSingletonScope();
+    container.bind(id.replacements).toDynamicValue(() =>
+        replacement.createReplacements({
+            ...duties(),
+            id: settings.id,
+            promotions: platform().promotions,
             tenures: tenures(),
             proofMs,
-            groups: () => [...groups.values()],
-            endpoints: group => directory().ofGroup(group),
-            account: () => [...follower().policy().organisations.keys()][0],
-            learn,
+            token: () => container.get<promoters.DutyHolder>(id.duty).token(),
+            learn: record => knowledge().learn(record),
+        })
+    ).inSingletonScope();
+    container.bind(id.promoter).toDynamicValue(() =>
+        promoters.createPromoter({
+            ...duties(),
+            self,
+            duty: container.get<promoters.DutyHolder>(id.duty),
+            replacements: container.get<replacement.Replacements>(id.replacements),
+            groups: () => knowledge().groups(),
         })
     ).inSingletonScope();
     container.bind(id.entrance).toDynamicValue(() =>
-        sessions.createEntrance({
+        entrances.createEntrance({
             clock,
             events: events(),
             measures: metrics(),
             runner: runners.createRunner({ clock, events: events() }),
+            transactions: transactions.createTransactions({ clock, events: events() }),
             allowance: allowance(),
             policy: () => follower().policy(),
-            group,
-            look,
+            group: name => knowledge().group(name),
+            look: () => knowledge().look(),
             refusing: () => refusing,
         })
     ).inSingletonScope();
@@ -203,190 +237,31 @@
     const peers = (): peersPart.Peers => container.get(id.peers);
     const follower = (): followers.Follower => container.get(id.follower);
     const promoter = (): promoters.Promoter => container.get(id.promoter);
+    const knowledge = (): knowledges.Knowledge => container.get(id.knowledge);
+    /** What all parts of the duty to replace primaries need. */
+    const duties = () => ({
+        clock,
+        events: events(),
+        store: platform().store,
+        follower: follower(),
+        peers: peers(),
+        probes: container.get<probesPart.Probes>(id.probes),
+        endpoints: (group: string) => directory().ofGroup(group),
+    });
 
     function levels(): metricsPart.Levels {
         const merge = (read: (entry: groupsPart.Group) => Readonly<Record<string, number>>): Record<string, number> =>
-            Object.assign({}, ...[...groups.values()].map(read)) as Record<string, number>;
+            Object.assign({}, ...knowledge().groups().map(read)) as Record<string, number>;
         return {
             load: merge(entry => entry.load()),
             connections: merge(entry => entry.connections()),
             callers: callers?.count() ?? 0,
             version: follower().policy().version,
             proofAgeMs: tenures().ageMs(clock.now()),
-            duty: promoter().holds(),
+            duty: container.get<promoters.DutyHolder>(id.duty).token() !== undefined,
         };
     }
 
-    /** Notices a suspension before anything that rests on ages is used. */
-    function look(): void {
-        const nowMs = clock.now();
-        if (!suspension.stepped(nowMs, clock.day())) {
-            return;
-        }
-        steppedMs = nowMs;
-        tenures().doubt();
-        follower().doubt();
-        groups.forEach(entry => entry.doubt());
-        events().emit("suspended", {});
-    }
-
-    const trusts = (sinceMs: number): boolean => sinceMs > steppedMs;
-
-    function group(name: string): groupsPart.Group {
-        const known = groups.get(name);
-        if (known !== undefined) {
-            return known;
-        }
-        const created = groupsPart.createGroup({
-            name,
-            failureDomain: settings.failureDomain,
-            clock,
-            dialer: platform().dialer,
-            events: events(),
-            tenures: tenures(),
-            trusts,
-            regionOf: domain => settings.failureDomains[domain],
-            share: () => share(name),
-            otherLoad: endpoint => peers().load(endpoint),
-            endpoints: () => directory().ofGroup(name),
-        });
-        groups.set(name, created);
-        created.sweep();
-        return created;
-    }
-
-    function share(name: string): number {
-        const most = follower().policy().groups.get(name)?.maxConnections ?? 1;
-        const { others, unheard } = peers().fleet();
-        return Math.max(1, Math.floor((most - reservedConnections) / (1 + others.length + unheard)));
-    }
-
-    function changed(): void {
-        const policy = follower().policy();
-        allowance().limit(policy.organisations);
-        policy.groups.forEach((_, name) => group(name));
-        groups.forEach((entry, name) => {
-            if (policy.groups.has(name) || directory().ofGroup(name).length > 0) {
-                entry.sweep();
-            }
-        });
-        noteReadiness();
-    }
-
-    function learn(record: tenure.Record): void {
-        const before = tenures().find(record.group);
-        if (tenures().learn(record, clock.now())) {
-            events().emit("tenureChanged", { ...record, replaced: before });
-            groups.get(record.group)?.wake();
-        }
-    }
-
-    function read(contents: registry.Contents, askedMs: number): void {
-        look();
-        contents.records.forEach(stored => learn(stored.record));
-        // Whoever replaces a primary asks the hosts that are registered.
-        const registered = contents.hosts.some(host => host.id === self.id && host.incarnation === self.incarnation);
-        if (registered && trusts(askedMs)) {
-            tenures().prove(askedMs);
-        }
-        peers().register(contents.hosts);
-        promoter().observe(contents);
-        noteProof();
-    }
-
-    function noteProof(): void {
-        const others = peers().all().map(peer => ({
-            heardMs: clock.now() - Math.max(peer.digest === undefined ? -Infinity : peer.heardMs, peer.refusedMs),
-            proofAgeMs: peer.digest?.proofAgeMs,
-        }));
-        tenures().witness(others, clock.now());
-        const proven = tenures().proven(clock.now());
-        if (proven !== wasProven) {
-            wasProven = proven;
-            events().emit(proven ? "proofRegained" : "proofLost", {
-                ageMs: Math.round(Math.min(tenures().ageMs(clock.now()), Number.MAX_SAFE_INTEGER)),
-                hosts: others.length,
-            });
-        }
-        if (proven) {
-            groups.forEach(entry => entry.wake());
-        }
-    }
-
-    function digest(): messages.Digest {
-        const nowMs = clock.now();
-        const ageMs = tenures().ageMs(nowMs);
-        return {
-            self,
-            version: follower().policy().version,
-            tenures: tenures().all(),
-            proofAgeMs: Number.isFinite(ageMs) ? ageMs : undefined,
-            samples: [...groups.values()].flatMap(entry => {
-                const newest = entry.newest();
-                return newest === undefined
-                    ? []
-                    : [{ group: entry.name, position: newest.position, ageMs: nowMs - newest.askedMs }];
-            }),
-            contacts: tenures().all().flatMap(record => {
-                const contact = groups.get(record.group)?.contact();
-                return contact === undefined ? [] : [{ group: record.group, primary: record.primary, ...contact }];
-            }),
-            demand: allowance().demand(nowMs),
-            load: Object.assign({}, ...[...groups.values()].map(entry => entry.load())) as Record<string, number>,
-            known: peers().heard().map(peer => peer.member),
-        };
-    }
-
-    function heard(told: messages.Digest, askedMs: number | undefined): void {
-        look();
-        told.tenures.forEach(learn);
-        if (askedMs !== undefined && trusts(askedMs)) {
-            told.samples.forEach(sample => groups.get(sample.group)?.learn(sample.position, askedMs - sample.ageMs));
-            if (told.proofAgeMs !== undefined) {
-                tenures().prove(askedMs - told.proofAgeMs);
-            }
-        }
-        noteProof();
-        if (told.version > follower().policy().version) {
-            void catchUp();
-        }
-    }
-
-    let catchingUp = false;
-
-    /** Takes what this host lacks from another one that was heard lately. */
-    async function catchUp(): Promise<void> {
-        const sources = peers().heard();
-        const best = sources.reduce<peersPart.Peer | undefined>(
-            (found, next) => ((next.digest?.version ?? 0) > (found?.digest?.version ?? -1) ? next : found),
-            undefined,
-        );
-        if (catchingUp || best === undefined) {
-            return;
-        }
-        catchingUp = true;
-        const askedMs = clock.now();
-        const reply = await peers().call(best.member, messages.peer.catalogue, {}, catalogueTimeoutMs);
-        catchingUp = false;
-        if (reply.isErr()) {
-            return;
-        }
-        if (reply.value.version > follower().policy().version) {
-            follower().offer(reply.value.configuration);
-        }
-        if (reply.value.ageMs !== undefined) {
-            follower().offerEndpoints(reply.value.endpoints, askedMs - reply.value.ageMs);
-        }
-    }
-
-    /** Without the store for a while, the other hosts may know newer endpoints. */
-    function refreshFromPeers(): void {
-        const listedMs = follower().listedMs();
-        if (listedMs === undefined || clock.now() - listedMs > outageMs) {
-            void catchUp();
-        }
-    }
-
     function ready(): boolean {
         return !stopping && follower().policy().version > 0 && directory().all().length > 0
             && tenures().all().length > 0;
@@ -404,9 +279,9 @@
         return [
             grpc.handle(messages.peer.exchange, async told => neverthrow.ok(peers().answer(told))),
             grpc.handle(messages.peer.record, async record => {
-                learn(record);
-                const entry = groups.get(record.group);
-                if (record.changing && entry !== undefined) {
+                knowledge().learn(record);
+                if (record.changing) {
+                    const entry = knowledge().group(record.group);
                     await entry.untilQuiet(record.primary, handoverMs);
                     tenures().confirm(record.group);
                 }
@@ -446,17 +321,15 @@
     lifecycle.add({
         name: "peers",
         async start() {
-            const server = await grpc.serve(settings.peers.host, settings.peers.port, handlers());
-            lifecycleServer = server;
+            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers());
             peers().start();
         },
         async close() {
             peers().close();
             container.get<network.Network>(id.network).close();
-            await lifecycleServer?.close();
+            await peerServer?.close();
         },
     });
-    let lifecycleServer: grpc.Server | undefined;
     lifecycle.add({
         name: "store",
         start: () => follower().start(),
@@ -464,25 +337,22 @@
         close: () => follower().close(),
     });
     lifecycle.add({ name: "promoter", start: () => promoter().start(), close: () => promoter().close() });
-    let stopTimers: readonly (() => void)[] = [];
     lifecycle.add({
         name: "upkeep",
         start() {
             stopTimers = [
                 clock.every(tickMs, () => {
-                    look();
-                    noteProof();
+                    knowledge().look();
+                    knowledge().judgeProof();
                     noteReadiness();
                 }),
                 clock.every(shareMs, () => allowance().share(peers().fleet(), clock.now())),
-                clock.every(catalogueMs, refreshFromPeers),
+                clock.every(catalogueMs, () => knowledge().refresh()),
                 clock.every(flushMs, () => events().flush()),
             ];
         },
         close: () => stopTimers.forEach(stop => stop()),
     });
-    let readiness: { close(): void } | undefined;
-    let metricsServer: { close(): void } | undefined;
     lifecycle.add({
         name: "callers",
         async start() {
@@ -493,7 +363,7 @@
         drain: drainCallers,
         close() {
             callers?.close();
-            groups.forEach(entry => entry.close());
+            knowledge().groups().forEach(entry => entry.close());
             readiness?.close();
             metricsServer?.close();
         },
--- /dev/null
+++ b/src/proxy/endpoint.ts
@@ -0,0 +1,137 @@
+/** One endpoint as this host sees it: its connections, how it answers, and how far it lags. */
+import type * as directory from "../core/directory.js";
+import type * as placement from "../core/placement.js";
+import type * as positions from "../core/position.js";
+import type * as succession from "../core/succession.js";
+import type * as connections from "../ports/connection.js";
+import type * as runtime from "../ports/runtime.js";
+import type * as events from "./events.js";
+import * as pools from "./pool.js";
+
+/** Settings of an endpoint's view. */
+export interface Options {
+    readonly listed: directory.Endpoint;
+    readonly clock: runtime.HostClock;
+    readonly dialer: connections.Dialer;
+    readonly events: events.Events;
+    /** Time to the endpoint and back, in milliseconds. */
+    readonly roundTripMs: number;
+    /** Connections that this host may keep open. */
+    share(): number;
+}
+
+/** What an answer tells beside itself. */
+export interface Sight {
+    /** True when the endpoint spent work on it. */
+    readonly ran: boolean;
+    /** Age of the position that the endpoint was asked to hold, in milliseconds. */
+    readonly floorAgeMs: number | undefined;
+}
+
+/** One endpoint. */
+export interface Endpoint {
+    readonly pool: pools.Pool;
+    readonly address: string;
+    readonly born: number;
+    /** Notes the outcome of an attempt to reach the endpoint. */
+    reached(answered: boolean): void;
+    /** Takes in an answer to a request of the given moment. */
+    observe(reply: connections.Reply, askedMs: number, sight: Sight): void;
+    contact(): succession.Contact;
+    /** What a choice between endpoints rests on, beside its role and the load from other hosts. */
+    measure(organisation: string): Omit<placement.Candidate, "endpoint" | "primary" | "draining" | "slots">;
+    /** Forgets what rests on ages. */
+    doubt(): void;
+}
+
+/** Expected time of a statement before any was seen, in milliseconds. */
+const initialServiceMs = 15;
+const smoothing = 0.15;
+/** Lag that a replica is taken to have before it was asked, in milliseconds. */
+const initialLagMs = 50;
+/** Part of the difference by which the estimate of a replica's lag falls with each answer that shows less. */
+const lagFall = 0.1;
+/** Factor by which the estimate exceeds the age of a position that a replica lacked. */
+const lagRise = 1.3;
+/** Time for which an endpoint that failed is passed over, in milliseconds; then one statement tries it again. */
+const suspectMs = 1_000;
+
+/** Creates the view of an endpoint that was not asked yet. */
+export function createEndpoint(options: Options): Endpoint {
+    const { clock, listed, events } = options;
+    const name = { group: listed.group, endpoint: listed.id };
+    let serviceMs = initialServiceMs;
+    let lagMs = initialLagMs;
+    let applied: positions.Position | undefined;
+    let answeredMs: number | undefined;
+    let failingMs: number | undefined;
+
+    function reached(answered: boolean): void {
+        if (answered) {
+            if (failingMs !== undefined) {
+                events.emit("endpointRegained", { ...name, lostMs: Math.round(clock.now() - failingMs) });
+            }
+            answeredMs = clock.now();
+            failingMs = undefined;
+        }
+        else if (failingMs === undefined) {
+            failingMs = clock.now();
+            events.emit("endpointLost", name);
+        }
+    }
+
+    function noteLag(reply: connections.Reply, floorAgeMs: number): void {
+        if (reply.outcome.kind === "refused" && reply.outcome.refusal === "lagging") {
+            lagMs = Math.max(lagMs, floorAgeMs * lagRise);
+        }
+        else if (floorAgeMs < lagMs) {
+            lagMs += (floorAgeMs - lagMs) * lagFall;
+        }
+    }
+
+    const pool = pools.createPool({
+        endpoint: listed.id,
+        group: listed.group,
+        address: listed.address,
+        slots: listed.slots,
+        dialer: options.dialer,
+        clock,
+        share: () => options.share(),
+        reached,
+    });
+
+    return {
+        pool,
+        reached,
+        address: listed.address,
+        born: listed.born,
+        observe(reply, askedMs, { ran, floorAgeMs }) {
+            reached(true);
+            applied = reply.position ?? applied;
+            if (floorAgeMs !== undefined) {
+                noteLag(reply, floorAgeMs);
+            }
+            if (ran) {
+                const workMs = Math.max(0, clock.now() - askedMs - options.roundTripMs);
+                serviceMs += (workMs - serviceMs) * smoothing;
+            }
+        },
+        contact() {
+            const age = (atMs: number | undefined): number | undefined =>
+                atMs === undefined ? undefined : clock.now() - atMs;
+            return { answeredMs: age(answeredMs), failingMs: age(failingMs) };
+        },
+        measure: organisation => ({
+            suspect: failingMs !== undefined && clock.now() - failingMs < suspectMs,
+            roundTripMs: options.roundTripMs,
+            serviceMs,
+            load: pool.load(),
+            warm: pool.warm(organisation),
+            applied,
+            lagMs,
+        }),
+        doubt() {
+            failingMs = undefined;
+        },
+    };
+}
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -26,6 +26,10 @@
     readonly events: events.Events;
     /** A number in [0, 1). */
     random(): number;
+    /** Age of this host's proof, in milliseconds, whoever it came from. */
+    proofAgeMs(): number;
+    /** True while this host has a duty that lives in the store. */
+    dutiful(): boolean;
     /** Takes in this product's own keys as they were at the moment. */
     contents(contents: registry.Contents, askedMs: number): void;
     /** Called after the policy or the endpoints changed. */
@@ -57,14 +61,18 @@
     close(): void;
 }
 
-/** Time between two reads of this product's own keys, in milliseconds; the proof they give lasts longer. */
-const contentsMs = 400;
+/** Time between two looks at whether to read this product's own keys, in milliseconds. */
+const contentsMs = 250;
+/** Age of the proof from which the keys are read; other hosts' readings spare one's own, in milliseconds. */
+const staleProofMs = 600;
+/** Longest time between two readings of the keys, in milliseconds: they also tell which hosts exist. */
+const longestReadMs = 1_200;
 /** Time between two listings of endpoints, in milliseconds; well within the time that draining may take to be seen. */
-const endpointsMs = 1_000;
-/** Longest wait of one watch, in milliseconds: a watch that hears nothing is replaced by a read after it. */
-const watchMs = 1_500;
+const endpointsMs = 1_500;
+/** Longest wait of one watch, in milliseconds: a configuration is due in 3 s, also when a watch hears nothing. */
+const watchMs = 2_000;
 /** Watches without news before the configuration is read all the same. */
-const quietWatches = 4;
+const quietWatches = 2;
 const retryMs = 250;
 /** Life of a host's registration without renewal, in milliseconds: bounds how long a dead host keeps its duty. */
 const leaseTtlMs = 2_500;
@@ -80,6 +88,7 @@
     let listedMs: number | undefined;
     let registration: { readonly lease: number; readonly untilMs: number } | undefined;
     let failedMs: number | undefined;
+    let readMs = -Infinity;
     let down = false;
     let closed = false;
     let left = false;
@@ -124,6 +133,7 @@
 
     async function refresh(): Promise<registry.Contents | undefined> {
         const askedMs = clock.now();
+        readMs = askedMs;
         const got = noted(await remote.range(registry.prefix));
         if (got.isErr()) {
             return undefined;
@@ -134,6 +144,13 @@
         return contents;
     }
 
+    async function follow(): Promise<void> {
+        const idleMs = clock.now() - readMs;
+        if (options.dutiful() || options.proofAgeMs() > staleProofMs || idleMs > longestReadMs) {
+            await refresh();
+        }
+    }
+
     async function listEndpoints(): Promise<void> {
         const askedMs = clock.now();
         const got = noted(await remote.range(options.documents.endpointsPrefix));
@@ -252,7 +269,7 @@
         },
         start() {
             void repeat(register, renewMs);
-            void repeat(refresh, contentsMs);
+            void repeat(follow, contentsMs);
             void repeat(listEndpoints, endpointsMs);
             void repeat(followConfiguration, retryMs);
         },
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -10,8 +10,9 @@
 import type * as tenure from "../core/tenure.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
+import * as endpoints from "./endpoint.js";
 import type * as events from "./events.js";
-import * as pools from "./pool.js";
+import type * as pools from "./pool.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
@@ -33,14 +34,20 @@
     endpoints(): readonly directory.Endpoint[];
 }
 
+/** A commit of a session. */
+export interface Commit {
+    readonly position: positions.Position;
+    readonly committedMs: number;
+}
+
 /** What a statement asks of the endpoint that runs it. */
 export interface Need {
     readonly consistency: policies.Consistency;
     /** True when the primary has to run it. */
     readonly write: boolean;
     readonly arrivedMs: number;
-    /** Position of the session's own newest commit. */
-    readonly own: positions.Position | undefined;
+    /** The session's own newest commit. */
+    readonly own: Commit | undefined;
     readonly organisation: string;
     readonly tried: ReadonlySet<string>;
 }
@@ -64,7 +71,7 @@
     place(need: Need): Result<Place>;
     pool(endpoint: string): pools.Pool | undefined;
     /** Takes in what an answer shows of the endpoint. */
-    observe(endpoint: string, reply: connections.Reply, askedMs: number, ran: boolean): void;
+    observe(endpoint: string, reply: connections.Reply, askedMs: number, sight: endpoints.Sight): void;
     /** Takes in that an endpoint gave no answer. */
     lost(endpoint: string): void;
     /** True while the endpoint is known to be the primary, for new work. */
@@ -96,25 +103,10 @@
     close(): void;
 }
 
-interface Peer {
-    readonly pool: pools.Pool;
-    readonly address: string;
-    readonly born: number;
-    serviceMs: number;
-    applied: positions.Position | undefined;
-    answeredMs: number | undefined;
-    failingMs: number | undefined;
-}
-
 /** Time for which samples are kept, in milliseconds; beyond the largest age that a route tolerates. */
 const keepMs = 10_000;
 /** Held back from the tolerated age, in milliseconds: time from the caller's first byte to this host's reading it. */
 const marginMs = 40;
-/** Expected time of a statement before any was seen, in milliseconds. */
-const initialServiceMs = 15;
-const smoothing = 0.15;
-/** Time for which an endpoint that failed is passed over, in milliseconds; then one statement tries it again. */
-const suspectMs = 1_000;
 /** Round trips by distance, in milliseconds: the same failure domain, the same region, another region. */
 const roundTripsMs = { domain: 0.5, region: 3, remote: 17 } as const;
 const retryMs = 150;
@@ -123,62 +115,29 @@
 /** Creates a group that knows nothing yet. */
 export function createGroup(options: Options): Group {
     const { clock, name, tenures } = options;
-    const peers = new Map<string, Peer>();
+    const views = new Map<string, endpoints.Endpoint>();
     const known = samples.createSamples(keepMs);
     const waiting = new Set<() => void>();
     const underWay = new Map<string, number>();
 
-    function peer(endpoint: directory.Endpoint): Peer {
-        const held = peers.get(endpoint.id);
-        if (held !== undefined && held.address === endpoint.address && held.born === endpoint.born) {
+    function view(listed: directory.Endpoint): endpoints.Endpoint {
+        const held = views.get(listed.id);
+        if (held !== undefined && held.address === listed.address && held.born === listed.born) {
             return held;
         }
         held?.pool.close();
-        const pool = pools.createPool({
-            endpoint: endpoint.id,
-            group: name,
-            address: endpoint.address,
-            slots: endpoint.slots,
-            dialer: options.dialer,
+        const created = endpoints.createEndpoint({
+            listed,
             clock,
+            dialer: options.dialer,
+            events: options.events,
+            roundTripMs: roundTripMs(listed.failureDomain),
             share: () => options.share(),
-            reached: answered => reached(endpoint.id, answered),
         });
-        const created: Peer = {
-            pool,
-            address: endpoint.address,
-            born: endpoint.born,
-            serviceMs: initialServiceMs,
-            applied: undefined,
-            answeredMs: undefined,
-            failingMs: undefined,
-        };
-        peers.set(endpoint.id, created);
+        views.set(listed.id, created);
         return created;
     }
 
-    function reached(endpoint: string, answered: boolean): void {
-        const entry = peers.get(endpoint);
-        if (entry === undefined) {
-            return;
-        }
-        if (answered) {
-            if (entry.failingMs !== undefined) {
-                options.events.emit("endpointRegained", { group: name, endpoint });
-            }
-            entry.answeredMs = clock.now();
-            entry.failingMs = undefined;
-        }
-        else if (entry.failingMs === undefined) {
-            entry.failingMs = clock.now();
-            options.events.emit("endpointLost", { group: name, endpoint });
-        }
-    }
-
-    function suspect(entry: Peer): boolean {
-        return entry.failingMs !== undefined && clock.now() - entry.failingMs < suspectMs;
-    }
-
     function roundTripMs(failureDomain: string): number {
         if (failureDomain === options.failureDomain) {
             return roundTripsMs.domain;
@@ -188,19 +147,15 @@
             : roundTripsMs.remote;
     }
 
-    function candidate(endpoint: directory.Endpoint, organisation: string): placement.Candidate {
-        const entry = peer(endpoint);
+    function candidate(listed: directory.Endpoint, organisation: string): placement.Candidate {
+        const measured = view(listed).measure(organisation);
         return {
-            endpoint: endpoint.id,
-            primary: tenures.find(name)?.primary === endpoint.id,
-            draining: endpoint.draining,
-            suspect: suspect(entry),
-            roundTripMs: roundTripMs(endpoint.failureDomain),
-            serviceMs: entry.serviceMs,
-            load: entry.pool.load() + options.otherLoad(endpoint.id),
-            slots: endpoint.slots,
-            warm: entry.pool.warm(organisation),
-            applied: entry.applied,
+            ...measured,
+            endpoint: listed.id,
+            primary: tenures.find(name)?.primary === listed.id,
+            draining: listed.draining,
+            load: measured.load + options.otherLoad(listed.id),
+            slots: listed.slots,
         };
     }
 
@@ -220,7 +175,7 @@
     }
 
     /** The least position that a read has to see, with the age of the sample behind it. */
-    function floor(need: Need): { readonly position: positions.Position; readonly ageMs: number } | undefined {
+    function floor(need: Need): placement.Floor | undefined {
         if (need.consistency.kind === "primary") {
             return undefined;
         }
@@ -232,10 +187,13 @@
         const own = need.consistency.kind === "session" ? need.own : undefined;
         const newest = known.newest();
         // A commit of an earlier term that survived is below every position of a later term.
-        const overtaken = own !== undefined && newest !== undefined && newest.position.term > own.term;
-        const sample = overtaken && oldest.position.term <= own.term ? newest : oldest;
-        const position = samples.floor(sample.position, overtaken ? undefined : own);
-        return { position, ageMs: clock.now() - sample.askedMs };
+        const overtaken = own !== undefined && newest !== undefined && newest.position.term > own.position.term;
+        const sample = overtaken && oldest.position.term <= own.position.term ? newest : oldest;
+        const ageMs = clock.now() - sample.askedMs;
+        if (own === undefined || overtaken || positions.compare(own.position, sample.position) <= 0) {
+            return { position: sample.position, ageMs };
+        }
+        return { position: own.position, ageMs: Math.min(ageMs, clock.now() - own.committedMs) };
     }
 
     function placePrimary(): Result<Place> {
@@ -244,7 +202,7 @@
         if (record === undefined || !led() || listed === undefined) {
             return neverthrow.err(unled());
         }
-        peer(listed);
+        view(listed);
         return neverthrow.ok({
             endpoint: record.primary,
             primary: true,
@@ -257,7 +215,7 @@
 
     return {
         name,
-        reached,
+        reached: (endpoint, answered) => views.get(endpoint)?.reached(answered),
         place(need) {
             if (need.write || need.consistency.kind === "primary") {
                 return placePrimary();
@@ -267,7 +225,7 @@
                 return placePrimary();
             }
             const candidates = options.endpoints().map(endpoint => candidate(endpoint, need.organisation));
-            const choice = placement.choose(candidates, { floor: wanted.position, tried: need.tried });
+            const choice = placement.choose(candidates, { floor: wanted, tried: need.tried });
             if (choice.endpoint === undefined) {
                 const message = `No endpoint of ${name} can serve the read.`;
                 return neverthrow.err(failure.create(failure.Code.replicaBehind, name, message, retryMs));
@@ -281,25 +239,15 @@
                 rejected: choice.rejected,
             });
         },
-        pool: endpoint => peers.get(endpoint)?.pool,
-        observe(endpoint, reply, askedMs, ran) {
-            const entry = peers.get(endpoint);
-            if (entry === undefined) {
-                return;
-            }
-            const nowMs = clock.now();
-            reached(endpoint, true);
-            entry.applied = reply.position ?? entry.applied;
-            if (ran) {
-                const listed = options.endpoints().find(candidate => candidate.id === endpoint);
-                const tripMs = roundTripMs(listed?.failureDomain ?? options.failureDomain);
-                entry.serviceMs += (Math.max(0, nowMs - askedMs - tripMs) - entry.serviceMs) * smoothing;
-            }
-            if (reply.position !== undefined && tenures.leads(name, endpoint, nowMs) && options.trusts(askedMs)) {
+        pool: endpoint => views.get(endpoint)?.pool,
+        observe(endpoint, reply, askedMs, sight) {
+            views.get(endpoint)?.observe(reply, askedMs, sight);
+            const leads = tenures.leads(name, endpoint, clock.now());
+            if (reply.position !== undefined && leads && options.trusts(askedMs)) {
                 known.offer({ position: reply.position, askedMs });
             }
         },
-        lost: endpoint => reached(endpoint, false),
+        lost: endpoint => views.get(endpoint)?.reached(false),
         leads: endpoint => tenures.leads(name, endpoint, clock.now()),
         acknowledges: endpoint => tenures.acknowledges(name, endpoint, clock.now()),
         enter(endpoint) {
@@ -333,36 +281,34 @@
                 [...waiting].forEach(done => done());
             }
         },
-        learn: (position, askedMs) => known.offer({ position, askedMs }),
-        newest: () => known.newest(),
-        contact() {
-            const entry = peers.get(tenures.find(name)?.primary ?? "");
-            const age = (atMs: number | undefined): number | undefined =>
-                atMs === undefined ? undefined : clock.now() - atMs;
-            return { answeredMs: age(entry?.answeredMs), failingMs: age(entry?.failingMs) };
+        learn(position, askedMs) {
+            if (options.trusts(askedMs)) {
+                known.offer({ position, askedMs });
+            }
         },
+        newest: () => known.newest(),
+        contact: () =>
+            views.get(tenures.find(name)?.primary ?? "")?.contact() ?? { answeredMs: undefined, failingMs: undefined },
         roundTripMs(endpoint) {
             const listed = options.endpoints().find(candidate => candidate.id === endpoint);
             return roundTripMs(listed?.failureDomain ?? options.failureDomain);
         },
         doubt() {
             known.clear();
-            peers.forEach(entry => {
-                entry.failingMs = undefined;
-            });
+            views.forEach(entry => entry.doubt());
         },
         sweep() {
             const listed = new Map(options.endpoints().map(endpoint => [endpoint.id, endpoint]));
-            for (const [id, entry] of peers) {
+            for (const [id, entry] of views) {
                 if (!listed.has(id)) {
                     entry.pool.close();
-                    peers.delete(id);
+                    views.delete(id);
                 }
             }
-            listed.forEach(endpoint => peer(endpoint));
+            listed.forEach(endpoint => void view(endpoint));
         },
-        load: () => Object.fromEntries([...peers].map(([id, entry]) => [id, entry.pool.load()])),
-        connections: () => Object.fromEntries([...peers].map(([id, entry]) => [id, entry.pool.size()])),
-        close: () => peers.forEach(entry => entry.pool.close()),
+        load: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.load()])),
+        connections: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.size()])),
+        close: () => views.forEach(entry => entry.pool.close()),
     };
 }
--- /dev/null
+++ b/src/proxy/knowledge.ts
@@ -0,0 +1,253 @@
+/** What this host knows, and how it learns: from the store, from other hosts, and from its own clocks. */
+import type * as allowances from "../core/allowance.js";
+import type * as directories from "../core/directory.js";
+import * as suspensions from "../core/suspension.js";
+import type * as tenure from "../core/tenure.js";
+import type * as connections from "../ports/connection.js";
+import type * as runtime from "../ports/runtime.js";
+import type * as eventsPart from "./events.js";
+import type * as followers from "./follower.js";
+import * as groupsPart from "./group.js";
+import * as messages from "./messages.js";
+import type * as peersPart from "./peers.js";
+import type * as promoters from "./promoter.js";
+import type * as registry from "./registry.js";
+
+/** Settings of the knowledge, and the parts that it joins; those that rest on it are got when needed. */
+export interface Options {
+    readonly failureDomain: string;
+    /** Region of each failure domain. */
+    readonly failureDomains: Readonly<Record<string, string>>;
+    readonly clock: runtime.HostClock;
+    readonly events: eventsPart.Events;
+    readonly tenures: tenure.Tenures;
+    readonly directory: directories.Directory;
+    readonly allowance: allowances.Allowance;
+    readonly dialer: connections.Dialer;
+    /** A number in [0, 1). */
+    random(): number;
+    self(): messages.Member;
+    peers(): peersPart.Peers;
+    follower(): followers.Follower;
+    promoter(): promoters.Promoter;
+    /** Called after something that readiness rests on has changed. */
+    updated(): void;
+}
+
+/** What this host knows. */
+export interface Knowledge {
+    /** Notices a suspension before anything that rests on ages is used. */
+    look(): void;
+    group(name: string): groupsPart.Group;
+    groups(): readonly groupsPart.Group[];
+    /** Takes in that the policy or the endpoints changed. */
+    changed(): void;
+    learn(record: tenure.Record): void;
+    /** Takes in this product's own keys as they were at the moment. */
+    read(contents: registry.Contents, askedMs: number): void;
+    /** What this host tells others. */
+    digest(): messages.Digest;
+    /** Takes in what another host told; the moment is when it was asked, absent when it spoke first. */
+    heard(told: messages.Digest, askedMs: number | undefined): void;
+    /** Judges anew whether the records of primaries may be relied on. */
+    judgeProof(): void;
+    /** Asks another host for what the store has not given for a while. */
+    refresh(): void;
+}
+
+/** Age of the endpoints' listing from which another host is asked for a newer one, in milliseconds. */
+const staleListingMs = 2_500;
+/** Share of digests that name other hosts: the store names them too. */
+const knownShare = 0.2;
+const catalogueTimeoutMs = 1_000;
+/** Connections of each endpoint kept free for probes and for hosts that are just starting. */
+const reservedConnections = 2;
+
+/** Creates the knowledge of a host that knows nothing. */
+export function createKnowledge(options: Options): Knowledge {
+    const { clock, events, tenures, directory, allowance, peers, follower, promoter } = options;
+    const suspension = suspensions.createSuspension();
+    const groups = new Map<string, groupsPart.Group>();
+    let steppedMs = -Infinity;
+    let wasProven = false;
+    let catchingUp = false;
+
+    /** Notices a suspension before anything that rests on ages is used. */
+    function look(): void {
+        const nowMs = clock.now();
+        if (!suspension.stepped(nowMs, clock.day())) {
+            return;
+        }
+        steppedMs = nowMs;
+        tenures.doubt();
+        follower().doubt();
+        groups.forEach(entry => entry.doubt());
+        events.emit("suspended", {});
+    }
+
+    const trusts = (sinceMs: number): boolean => sinceMs > steppedMs;
+
+    function group(name: string): groupsPart.Group {
+        const known = groups.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = groupsPart.createGroup({
+            name,
+            failureDomain: options.failureDomain,
+            clock,
+            dialer: options.dialer,
+            events: events,
+            tenures: tenures,
+            trusts,
+            regionOf: domain => options.failureDomains[domain],
+            share: () => share(name),
+            otherLoad: endpoint => peers().load(endpoint),
+            endpoints: () => directory.ofGroup(name),
+        });
+        groups.set(name, created);
+        created.sweep();
+        return created;
+    }
+
+    function share(name: string): number {
+        const most = follower().policy().groups.get(name)?.maxConnections ?? 1;
+        const { others, unheard } = peers().fleet();
+        return Math.max(1, Math.floor((most - reservedConnections) / (1 + others.length + unheard)));
+    }
+
+    function changed(): void {
+        const policy = follower().policy();
+        allowance.limit(policy.organisations);
+        policy.groups.forEach((_, name) => group(name));
+        groups.forEach((entry, name) => {
+            if (policy.groups.has(name) || directory.ofGroup(name).length > 0) {
+                entry.sweep();
+            }
+        });
+        options.updated();
+    }
+
+    function learn(record: tenure.Record): void {
+        const before = tenures.find(record.group);
+        if (tenures.learn(record, clock.now())) {
+            events.emit("tenureChanged", { ...record, replaced: before });
+            groups.get(record.group)?.wake();
+        }
+    }
+
+    function read(contents: registry.Contents, askedMs: number): void {
+        look();
+        contents.records.forEach(stored => learn(stored.record));
+        // Whoever replaces a primary asks the hosts that are registered.
+        const self = options.self();
+        const registered = contents.hosts.some(host => host.id === self.id && host.incarnation === self.incarnation);
+        if (registered && trusts(askedMs)) {
+            tenures.prove(askedMs);
+        }
+        peers().register(contents.hosts);
+        promoter().observe(contents);
+        judgeProof();
+    }
+
+    function judgeProof(): void {
+        const others = peers().all().map(peer => ({
+            heardMs: clock.now() - Math.max(peer.digest === undefined ? -Infinity : peer.heardMs, peer.refusedMs),
+            proofAgeMs: peer.digest?.proofAgeMs,
+        }));
+        tenures.witness(others, clock.now());
+        const proven = tenures.proven(clock.now());
+        if (proven !== wasProven) {
+            wasProven = proven;
+            events.emit(proven ? "proofRegained" : "proofLost", {
+                ageMs: Math.round(Math.min(tenures.ageMs(clock.now()), Number.MAX_SAFE_INTEGER)),
+                hosts: others.length,
+            });
+        }
+        if (proven) {
+            groups.forEach(entry => entry.wake());
+        }
+    }
+
+    function digest(): messages.Digest {
+        const nowMs = clock.now();
+        const ageMs = tenures.ageMs(nowMs);
+        return {
+            self: options.self(),
+            version: follower().policy().version,
+            tenures: tenures.all(),
+            proofAgeMs: Number.isFinite(ageMs) ? ageMs : undefined,
+            samples: [...groups.values()].flatMap(entry => {
+                const newest = entry.newest();
+                return newest === undefined
+                    ? []
+                    : [{ group: entry.name, position: newest.position, ageMs: nowMs - newest.askedMs }];
+            }),
+            contacts: tenures.all().flatMap(record => {
+                const contact = groups.get(record.group)?.contact();
+                return contact === undefined ? [] : [{ group: record.group, primary: record.primary, ...contact }];
+            }),
+            demand: allowance.demand(nowMs),
+            load: Object.assign({}, ...[...groups.values()].map(entry => entry.load())) as Record<string, number>,
+            known: options.random() < knownShare ? peers().heard().map(peer => peer.member) : [],
+        };
+    }
+
+    function heard(told: messages.Digest, askedMs: number | undefined): void {
+        look();
+        told.tenures.forEach(learn);
+        if (askedMs !== undefined && trusts(askedMs)) {
+            told.samples.forEach(sample => groups.get(sample.group)?.learn(sample.position, askedMs - sample.ageMs));
+            if (told.proofAgeMs !== undefined) {
+                tenures.prove(askedMs - told.proofAgeMs);
+            }
+        }
+        judgeProof();
+        if (told.version > follower().policy().version) {
+            void catchUp();
+        }
+    }
+
+    /** Takes what this host lacks from another one that was heard lately. */
+    async function catchUp(): Promise<void> {
+        const sources = peers().heard();
+        const best = sources.reduce<peersPart.Peer | undefined>(
+            (found, next) => ((next.digest?.version ?? 0) > (found?.digest?.version ?? -1) ? next : found),
+            undefined,
+        );
+        if (catchingUp || best === undefined) {
+            return;
+        }
+        catchingUp = true;
+        const askedMs = clock.now();
+        const reply = await peers().call(best.member, messages.peer.catalogue, {}, catalogueTimeoutMs);
+        catchingUp = false;
+        if (reply.isErr()) {
+            return;
+        }
+        if (reply.value.version > follower().policy().version) {
+            follower().offer(reply.value.configuration);
+        }
+        if (reply.value.ageMs !== undefined) {
+            follower().offerEndpoints(reply.value.endpoints, askedMs - reply.value.ageMs);
+        }
+    }
+
+    return {
+        look,
+        group,
+        changed,
+        learn,
+        read,
+        digest,
+        heard,
+        judgeProof,
+        groups: () => [...groups.values()],
+        refresh() {
+            const listedMs = follower().listedMs();
+            if (listedMs === undefined || clock.now() - listedMs > staleListingMs) {
+                void catchUp();
+            }
+        },
+    };
+}
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -11,6 +11,8 @@
 export interface Options {
     readonly self: protocol.Member;
     readonly seeds: readonly string[];
+    /** True for a failure domain in this host's region. */
+    near(failureDomain: string): boolean;
     readonly network: network.Network;
     readonly clock: runtime.HostClock;
     readonly events: events.Events;
@@ -57,13 +59,15 @@
     close(): void;
 }
 
-/** Time between two exchanges with the same host of a small fleet, in milliseconds. */
-const intervalMs = 250;
-/** Hosts asked in one round; a round among more picks some at random. */
+/** Time between two rounds, in milliseconds; each host also speaks to this one as often. */
+const intervalMs = 500;
+/** Hosts of the region asked in one round; a round among more picks some at random. */
 const fanOut = 5;
+/** Rounds between two exchanges with a host of another region, whose link is narrow. */
+const remoteRounds = 2;
 const timeoutMs = 400;
 /** Silence after which a host counts as not heard, in milliseconds: three exchanges. */
-const silentMs = 900;
+const silentMs = 1_600;
 /** Silence after which a host that is not registered is forgotten, in milliseconds. */
 const forgetMs = 15_000;
 /** Time for which failed exchanges go on before the connection is replaced, in milliseconds. */
@@ -85,6 +89,7 @@
     const entries = new Map<string, Entry>();
     let stop: (() => void) | undefined;
     let pending = new Set<string>();
+    let rounds = 0;
 
     function note(member: protocol.Member): Entry {
         const known = entries.get(member.id);
@@ -173,7 +178,9 @@
     }
 
     function pick(): readonly Entry[] {
-        const left = [...entries.values()];
+        const left = [...entries.values()].filter(entry =>
+            rounds % remoteRounds === 0 || options.near(entry.member.failureDomain)
+        );
         const chosen: Entry[] = [];
         while (left.length > 0 && chosen.length < fanOut) {
             chosen.push(...left.splice(Math.floor(options.random() * left.length), 1));
@@ -182,6 +189,7 @@
     }
 
     function round(): void {
+        rounds += 1;
         const nowMs = clock.now();
         for (const [id, entry] of entries) {
             if (!entry.registered && nowMs - entry.heardMs > forgetMs) {
--- /dev/null
+++ b/src/proxy/placing.ts
@@ -0,0 +1,38 @@
+/** Finds the endpoint for a statement and a connection to it. */
+import * as neverthrow from "neverthrow";
+import * as failure from "../core/failure.js";
+import type * as caller from "../ports/caller.js";
+import type * as groups from "./group.js";
+import type * as pools from "./pool.js";
+import * as statements from "./statement.js";
+
+type Result<T> = neverthrow.Result<T, failure.Failure>;
+
+/** Finds a place, waiting for a primary if the statement needs one. */
+export async function find(
+    mode: caller.Mode,
+    context: statements.Context,
+    tried: ReadonlySet<string>,
+): Promise<Result<groups.Place>> {
+    const { group, route, own, organisation, arrivedMs } = context;
+    const need = { consistency: route.consistency, write: mode === "write", arrivedMs, own, organisation, tried };
+    const found = group.place(need);
+    if (found.isOk() || found.error.code !== failure.Code.noPrimary) {
+        return found;
+    }
+    await group.untilLed(context.deadlineMs - statements.leastMs);
+    return group.place(need);
+}
+
+/** Waits for a connection to the place. */
+export async function acquire(place: groups.Place, context: statements.Context): Promise<Result<pools.Lease>> {
+    const pool = context.group.pool(place.endpoint);
+    if (pool === undefined) {
+        const message = `Endpoint ${place.endpoint} is gone.`;
+        return neverthrow.err(
+            failure.create(failure.Code.endpointUnreachable, place.endpoint, message, statements.retryMs),
+        );
+    }
+    const { organisation, values, deadlineMs } = context;
+    return pool.acquire({ organisation, values, deadlineMs });
+}
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -79,7 +79,7 @@
 const crowdedMs = 2_000;
 /** Time after which a free connection above the share is closed, in milliseconds. */
 const idleMs = 500;
-const sweepMs = 50;
+const sweepMs = 100;
 /** Pause before another attempt at an endpoint without room, in milliseconds. */
 const roomMs = 25;
 const retryMs = 100;
--- /dev/null
+++ b/src/proxy/probes.ts
@@ -0,0 +1,99 @@
+/** Asks endpoints about their role, over connections apart from the callers'. */
+import type * as directory from "../core/directory.js";
+import type * as connections from "../ports/connection.js";
+import type * as runtime from "../ports/runtime.js";
+
+/** Settings of the probes. */
+export interface Options {
+    readonly clock: runtime.HostClock;
+    readonly dialer: connections.Dialer;
+    /** Organisation in whose name endpoints are asked. */
+    account(): string | undefined;
+}
+
+/** Connections that carry orders. */
+export interface Probes {
+    /** Gives an order; "busy" shows that the endpoint lives, undefined that it did not answer. */
+    order(
+        endpoint: directory.Endpoint,
+        request: connections.Order,
+    ): Promise<connections.Status | "busy" | undefined>;
+    /** Status of each endpoint that answers, by its id. */
+    statuses(endpoints: readonly directory.Endpoint[]): Promise<ReadonlyMap<string, connections.Status>>;
+    close(): void;
+}
+
+interface Probe {
+    readonly address: string;
+    readonly connection: connections.Connection;
+}
+
+const probeMs = 400;
+const busyPauseMs = 40;
+const busyAttempts = 3;
+
+/** Creates probes without connections. */
+export function createProbes(options: Options): Probes {
+    const { clock } = options;
+    const probes = new Map<string, Probe>();
+
+    async function probe(endpoint: directory.Endpoint): Promise<connections.Connection | undefined> {
+        const known = probes.get(endpoint.id);
+        if (known !== undefined && known.address === endpoint.address && known.connection.open()) {
+            return known.connection;
+        }
+        const organisation = options.account();
+        if (organisation === undefined) {
+            return undefined;
+        }
+        const target = { endpoint: endpoint.id, group: endpoint.group, address: endpoint.address, organisation };
+        const dialed = await options.dialer.dial(target, probeMs);
+        if (dialed.isErr()) {
+            return undefined;
+        }
+        const raced = probes.get(endpoint.id);
+        if (raced !== undefined && raced.connection.open()) {
+            dialed.value.close();
+            return raced.connection;
+        }
+        probes.set(endpoint.id, { address: endpoint.address, connection: dialed.value });
+        return dialed.value;
+    }
+
+    async function order(
+        endpoint: directory.Endpoint,
+        request: connections.Order,
+    ): Promise<connections.Status | "busy" | undefined> {
+        const connection = await probe(endpoint);
+        if (connection === undefined) {
+            return undefined;
+        }
+        const answered = await connection.order(request, probeMs);
+        if (answered.isOk()) {
+            return answered.value;
+        }
+        return answered.error === "busy" ? "busy" : undefined;
+    }
+
+    async function statuses(
+        endpoints: readonly directory.Endpoint[],
+    ): Promise<ReadonlyMap<string, connections.Status>> {
+        const answers = await Promise.all(endpoints.map(async endpoint => {
+            for (let attempt = 0; attempt < busyAttempts; attempt += 1) {
+                const answer = await order(endpoint, { kind: "status" });
+                if (answer !== "busy") {
+                    return [endpoint.id, answer] as const;
+                }
+                await clock.sleep(busyPauseMs);
+            }
+            return [endpoint.id, undefined] as const;
+        }));
+        return new Map(answers.flatMap(([id, status]) => (status === undefined ? [] : [[id, status]])));
+    }
+
+    return {
+        order,
+        statuses,
+        close: () => probes.forEach(entry => entry.connection.close()),
+    };
+}
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -7,9 +7,12 @@
 import type * as caller from "../ports/caller.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
+import * as access from "./access.js";
 import type * as events from "./events.js";
 import type * as groups from "./group.js";
 import type * as runners from "./runner.js";
+import type * as statements from "./statement.js";
+import type * as transactions from "./transactions.js";
 
 /** Settings that all sessions of a host share. */
 export interface Options {
@@ -17,13 +20,12 @@
     readonly events: events.Events;
     readonly measures: Measures;
     readonly runner: runners.Runner;
+    readonly transactions: transactions.Transactions;
     readonly allowance: allowances.Allowance;
     policy(): policies.Policy;
     group(name: string): groups.Group;
     /** Called before anything that rests on ages. */
     look(): void;
-    /** True while the host stops and takes no new callers or operations. */
-    refusing(): boolean;
 }
 
 /** Counts what sessions did. */
@@ -43,56 +45,20 @@
     readonly readOnly: boolean;
     readonly arrivedMs: number;
     readonly route: policies.Route;
-    opened: runners.Transaction | undefined;
+    opened: transactions.Transaction | undefined;
     failed: boolean;
     stopIdle: (() => void) | undefined;
 }
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
-/** Organisation named to endpoints on routes that are open to all, for callers without a known key. */
-const anyone = "-";
-
-/** Where callers log in. */
-export function createEntrance(options: Options): caller.Entrance {
-    return {
-        open(database, key) {
-            const admitted = options.refusing()
-                ? neverthrow.err(stopping(database))
-                : authorise(options.policy(), database, key);
-            if (admitted.isErr()) {
-                options.events.emit("loginRefused", { database, code: admitted.error.code });
-                return neverthrow.err(admitted.error);
-            }
-            return neverthrow.ok(createSession(options, database, key));
-        },
-    };
-}
-
-interface Admitted {
-    readonly route: policies.Route;
-    readonly organisation: string;
-}
-
-function authorise(policy: policies.Policy, database: string, key: string): Result<Admitted> {
-    const route = policy.routes.get(database);
-    if (route === undefined) {
-        return neverthrow.err(
-            failure.create(failure.Code.routeUnknown, database, `Database ${database} does not exist.`),
-        );
-    }
-    const organisation = policy.keys.get(key) ?? (route.open ? anyone : undefined);
-    return organisation === undefined
-        ? neverthrow.err(failure.create(failure.Code.accessDenied, database, "The key is not in force."))
-        : neverthrow.ok({ route, organisation });
-}
-
-function createSession(options: Options, database: string, key: string): caller.Session {
-    const { clock, runner } = options;
+/** Creates the session of a caller that was let in. */
+export function createSession(options: Options, database: string, key: string): caller.Session {
+    const { clock, runner, transactions: blocks } = options;
     const values = new Map<string, string>();
     const prepared = new Map<string, Prepared>();
     let block: Block | undefined;
-    let own: { readonly group: string; readonly position: positions.Position } | undefined;
+    let own: (groups.Commit & { readonly group: string }) | undefined;
     let closed = false;
     let running = false;
 
@@ -116,20 +82,25 @@
         return give(neverthrow.err(cause), undefined, last);
     }
 
-    function context(admitted: Admitted, route: policies.Route, arrivedMs: number, nowMs: number): runners.Context {
+    function context(
+        admitted: access.Admitted,
+        route: policies.Route,
+        arrivedMs: number,
+        nowMs: number,
+    ): statements.Context {
         return {
             group: options.group(route.group),
             route,
             organisation: admitted.organisation,
             values,
-            own: own?.group === route.group ? own.position : undefined,
+            own: own?.group === route.group ? own : undefined,
             arrivedMs,
             deadlineMs: nowMs + route.statementTimeoutMs,
         };
     }
 
-    function admit(admitted: Admitted, nowMs: number): failure.Failure | undefined {
-        if (admitted.organisation === anyone) {
+    function admit(admitted: access.Admitted, nowMs: number): failure.Failure | undefined {
+        if (admitted.organisation === access.anyone) {
             return undefined;
         }
         const decision = options.allowance.admit(admitted.organisation, nowMs);
@@ -150,7 +121,7 @@
     function endBlock(): void {
         block?.stopIdle?.();
         if (block?.opened !== undefined) {
-            runner.rollback(block.opened);
+            blocks.rollback(block.opened);
             block.opened = undefined;
         }
         block = undefined;
@@ -171,14 +142,14 @@
     function fail(current: Block): void {
         current.failed = true;
         if (current.opened !== undefined) {
-            runner.rollback(current.opened);
+            blocks.rollback(current.opened);
             current.opened = undefined;
         }
     }
 
     function report(
-        served: Result<runners.Served>,
-        admitted: Admitted,
+        served: Result<statements.Served>,
+        admitted: access.Admitted,
         mode: caller.Mode,
         startMs: number,
     ): caller.Answer {
@@ -192,22 +163,30 @@
         return give(neverthrow.ok({ rows: reply.rows, signature: signature(reply) }), reply.position);
     }
 
-    async function single(statement: runners.Statement, admitted: Admitted, nowMs: number): Promise<caller.Answer> {
+    async function single(
+        statement: statements.Statement,
+        admitted: access.Admitted,
+        nowMs: number,
+    ): Promise<caller.Answer> {
         const over = admit(admitted, nowMs);
         if (over !== undefined) {
             return refuse(over);
         }
-        const served = await runner.single(statement, context(admitted, admitted.route, nowMs, nowMs));
+        const served = await runner.run(statement, context(admitted, admitted.route, nowMs, nowMs));
         if (served.isOk() && statement.mode === "write" && served.value.reply.position !== undefined) {
-            own = { group: admitted.route.group, position: served.value.reply.position };
+            own = {
+                group: admitted.route.group,
+                position: served.value.reply.position,
+                committedMs: clock.now(),
+            };
         }
         return report(served, admitted, statement.mode, nowMs);
     }
 
     async function within(
         current: Block,
-        statement: runners.Statement,
-        admitted: Admitted,
+        statement: statements.Statement,
+        admitted: access.Admitted,
         nowMs: number,
     ): Promise<caller.Answer> {
         const surroundings = context(admitted, current.route, current.arrivedMs, nowMs);
@@ -217,7 +196,7 @@
             options.measures.refused(database, admitted.organisation, opened.error.code, clock.now() - nowMs);
             return refuse(opened.error);
         }
-        const served = await runner.within(opened.value, statement, surroundings);
+        const served = await blocks.within(opened.value, statement, surroundings);
         if (served.isErr()) {
             fail(current);
         }
@@ -227,15 +206,15 @@
         return report(served, admitted, statement.mode, nowMs);
     }
 
-    async function enter(current: Block, surroundings: runners.Context): Promise<Result<runners.Transaction>> {
+    async function enter(current: Block, surroundings: statements.Context): Promise<Result<transactions.Transaction>> {
         if (current.opened !== undefined) {
             return neverthrow.ok(current.opened);
         }
-        const opened = await runner.begin("-", current.readOnly, surroundings);
+        const opened = await blocks.begin("-", current.readOnly, surroundings);
         if (opened.isOk()) {
             current.opened = opened.value;
             if (closed) {
-                runner.rollback(opened.value);
+                blocks.rollback(opened.value);
                 return neverthrow.err(lost("the caller has left"));
             }
         }
@@ -247,7 +226,11 @@
         return failure.create(failure.Code.transactionLost, database, message, 0);
     }
 
-    async function run(statement: runners.Statement, admitted: Admitted, nowMs: number): Promise<caller.Answer> {
+    async function run(
+        statement: statements.Statement,
+        admitted: access.Admitted,
+        nowMs: number,
+    ): Promise<caller.Answer> {
         if (block === undefined) {
             return single(statement, admitted, nowMs);
         }
@@ -262,7 +245,7 @@
         return within(block, statement, admitted, nowMs);
     }
 
-    async function commit(id: string, admitted: Admitted, nowMs: number): Promise<caller.Answer> {
+    async function commit(id: string, admitted: access.Admitted, nowMs: number): Promise<caller.Answer> {
         const current = block;
         if (current === undefined) {
             return refuse(invalid("No transaction is open."));
@@ -277,14 +260,18 @@
         if (opened.isErr()) {
             return refuse(opened.error);
         }
-        const served = await runner.commit(opened.value, id, surroundings);
+        const served = await blocks.commit(opened.value, id, surroundings);
         if (served.isOk() && opened.value.wrote && served.value.reply.position !== undefined) {
-            own = { group: current.route.group, position: served.value.reply.position };
+            own = {
+                group: current.route.group,
+                position: served.value.reply.position,
+                committedMs: clock.now(),
+            };
         }
         return report(served, admitted, opened.value.wrote ? "write" : "read", nowMs);
     }
 
-    function begin(id: string, readOnly: boolean, admitted: Admitted, nowMs: number): caller.Answer {
+    function begin(id: string, readOnly: boolean, admitted: access.Admitted, nowMs: number): caller.Answer {
         if (block !== undefined) {
             return refuse(invalid("A transaction is open already."));
         }
@@ -308,7 +295,7 @@
     function dispatch(
         id: string,
         request: caller.Request,
-        admitted: Admitted,
+        admitted: access.Admitted,
         nowMs: number,
     ): caller.Answer | Promise<caller.Answer> {
         if (block?.failed === true && request.kind !== "commit" && request.kind !== "rollback") {
@@ -349,7 +336,7 @@
             running = true;
             block?.stopIdle?.();
             options.look();
-            const admitted = authorise(options.policy(), database, key);
+            const admitted = access.authorise(options.policy(), database, key);
             if (admitted.isErr()) {
                 endBlock();
                 options.events.emit("keyWithdrawn", { database, request: id, code: admitted.error.code });
@@ -379,10 +366,6 @@
     return reply.outcome.kind === "done" ? reply.outcome.signature : undefined;
 }
 
-function stopping(subject: string): failure.Failure {
-    return failure.create(failure.Code.draining, subject, "The host stops; another one serves.", 0);
-}
-
 function invalid(message: string): failure.Failure {
     return failure.create(failure.Code.statementInvalid, "request", message);
 }
