--- /dev/null
+++ b/src/core/allowance.test.ts
@@ -0,0 +1,92 @@
+import * as chai from "chai";
+import * as allowances from "./allowance.js";
+
+const limits = new Map([["cluj", { ratePerSecond: 90, burst: 90 }]]);
+
+interface Host {
+    readonly allowance: allowances.Allowance;
+    readonly perSecond: (nowMs: number) => number;
+    due: number;
+}
+
+/** Plays hosts that ask at the given rates and tell each other their demand; returns the admitted moments. */
+function play(
+    rates: readonly ((nowMs: number) => number)[],
+    lengthMs: number,
+    unheard: (host: number, nowMs: number) => boolean = () => false,
+): { readonly admitted: readonly number[]; readonly refused: number } {
+    const hosts: Host[] = rates.map(perSecond => ({ allowance: allowances.createAllowance(), perSecond, due: 0 }));
+    const admitted: number[] = [];
+    let refused = 0;
+    hosts.forEach(host => host.allowance.limit(limits));
+    for (let nowMs = 0; nowMs < lengthMs; nowMs += 5) {
+        if (nowMs % 500 === 0) {
+            const told = hosts.map(host => host.allowance.demand(nowMs));
+            hosts.forEach((host, self) => {
+                const others = told.filter((_, other) =>
+                    other !== self && !unheard(other, nowMs) && !unheard(self, nowMs)
+                );
+                host.allowance.share({ others, unheard: hosts.length - 1 - others.length }, nowMs);
+            });
+        }
+        for (const host of hosts) {
+            host.due += host.perSecond(nowMs) * 5 / 1_000;
+            for (; host.due >= 1; host.due -= 1) {
+                if (host.allowance.admit("cluj", nowMs).admitted) {
+                    admitted.push(nowMs);
+                }
+                else {
+                    refused += 1;
+                }
+            }
+        }
+    }
+    return { admitted, refused };
+}
+
+/** Most operations in any window of the users' length. */
+function busiest(admitted: readonly number[], windowMs = 5_000): number {
+    return Math.max(
+        0,
+        ...admitted.map(startMs => admitted.filter(at => at >= startMs && at < startMs + windowMs).length),
+    );
+}
+
+/** The users' bound: (rate x window + burst) x 1.1 + 20. */
+const bound = (90 * 5 + 90) * 1.1 + 20;
+
+describe("allowance", () => {
+    it("refuses nothing below the limit, however uneven the hosts' load", () => {
+        const { refused, admitted } = play([() => 50, () => 10, () => 5, () => 0, () => 0, () => 5], 20_000);
+        chai.expect(refused).to.be.at.most((refused + admitted.length) * 0.01);
+    });
+
+    it("keeps a tenant that asks seven times its rate to the bound in every window", () => {
+        const { admitted } = play([0, 1, 2, 3, 4, 5].map(() => () => 105), 20_000);
+        chai.expect(busiest(admitted)).to.be.at.most(bound);
+        chai.expect(admitted.length).to.be.at.least(90 * 20 * 0.9);
+    });
+
+    it("keeps to the bound while the load moves from host to host", () => {
+        const moving = [0, 1, 2, 3, 4, 5].map(
+            host => (nowMs: number) => (Math.floor(nowMs / 700) % 6 === host ? 400 : 0),
+        );
+        chai.expect(busiest(play(moving, 20_000).admitted)).to.be.at.most(bound);
+    });
+
+    it("keeps to the bound while hosts are cut off from the others", () => {
+        const rates = [0, 1, 2, 3, 4, 5].map(() => () => 60);
+        const cut = (host: number, nowMs: number): boolean => host < 2 && nowMs > 5_000 && nowMs < 15_000;
+        chai.expect(busiest(play(rates, 20_000, cut).admitted)).to.be.at.most(bound);
+    });
+
+    it("says when to come back", () => {
+        const allowance = allowances.createAllowance();
+        allowance.limit(new Map([["cluj", { ratePerSecond: 10, burst: 1 }]]));
+        allowance.admit("cluj", 0);
+        const next = allowance.admit("cluj", 0);
+        chai.expect(next.admitted).to.equal(false);
+        chai.expect(next.retryAfterMs).to.be.above(0).and.at.most(1_000);
+        chai.expect(allowance.admit("unknown", 0).admitted).to.equal(false);
+    });
+});
--- /dev/null
+++ b/src/platform/documents.test.ts
@@ -0,0 +1,69 @@
+import * as chai from "chai";
+import * as documents from "./documents.js";
+
+const entry = {
+    service: "ledger",
+    address: "10.128.0.9:8080",
+    zone: "cluj-a",
+    version: "v1",
+    slots: 2,
+    state: "ready",
+    cold_remaining_ms: 0,
+    db_role: "replica",
+    sequence: 4,
+    born: 17,
+};
+
+describe("the platform's documents", () => {
+    it("reads an endpoint", () => {
+        chai.expect(documents.readEndpoint("servers/i-7", JSON.stringify(entry))._unsafeUnwrap()).to.deep.equal({
+            id: "i-7",
+            group: "ledger",
+            address: "10.128.0.9:8080",
+            failureDomain: "cluj-a",
+            slots: 2,
+            draining: false,
+            primary: false,
+            born: 17,
+        });
+    });
+
+    const garbage: readonly string[] = [
+        "",
+        "null",
+        "\ufffd\ufffd",
+        "[]",
+        JSON.stringify({ ...entry, state: "asleep" }),
+        JSON.stringify({ ...entry, slots: "2" }),
+        JSON.stringify({ ...entry, address: undefined }),
+        JSON.stringify({ ...entry, address: "nowhere" }),
+    ];
+    garbage.forEach(text =>
+        it(`names no endpoint for ${JSON.stringify(text.slice(0, 40))}`, () =>
+            chai.expect(documents.readEndpoint("servers/i-7", text).isErr()).to.equal(true))
+    );
+
+    it("reads a configuration, and ignores fields it does not know", () => {
+        const policy = documents.readPolicy(JSON.stringify({
+            version: 7,
+            news: true,
+            routes: [{
+                hostname: "stock",
+                service: "ledger",
+                kind: "read_your_writes",
+                timeout_ms: 800,
+                max_staleness_ms: 9,
+            }],
+            services: [{ name: "ledger", max_connections: 16 }],
+            limits: { tx_idle_ms: 3_000 },
+            tenants: [{ name: "cluj", api_keys: ["k1", "k2"], rate_per_s: 92, burst: 92 }],
+        }))._unsafeUnwrap();
+        chai.expect(policy.routes.get("stock")?.consistency).to.deep.equal({ kind: "session", maxAgeMs: 9 });
+        chai.expect(policy.keys.get("k2")).to.equal("cluj");
+        chai.expect(policy.transactionIdleMs).to.equal(3_000);
+    });
+
+    it("turns down a configuration without a version", () => {
+        chai.expect(documents.readPolicy('{"routes":[]}').isErr()).to.equal(true);
+    });
+});
