--- a/src/core/allowance.test.ts
+++ b/src/core/allowance.test.ts
@@ -80,6 +80,20 @@
         chai.expect(busiest(play(rates, 20_000, cut).admitted)).to.be.at.most(bound);
     });
 
+    it("keeps to the bound when all hosts start again at once under load", () => {
+        const rates = [0, 1, 2, 3, 4, 5].map(() => () => 105);
+        const before = play(rates, 5_000).admitted;
+        const after = play(rates, 5_000).admitted.map(at => at + 6_000);
+        chai.expect(busiest([...before, ...after])).to.be.at.most(bound);
+    });
+
+    it("takes no more than a small part before it knows of the other hosts", () => {
+        const allowance = allowances.createAllowance();
+        allowance.limit(limits);
+        const admitted = Array.from({ length: 200 }, () => allowance.admit("cluj", 0)).filter(entry => entry.admitted);
+        chai.expect(admitted.length).to.be.at.most(90 / 6);
+    });
+
     it("says when to come back", () => {
         const allowance = allowances.createAllowance();
         allowance.limit(new Map([["cluj", { ratePerSecond: 10, burst: 1 }]]));
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -34,6 +34,7 @@
 }
 
 interface Bucket {
+    /** Operations that may be admitted at once. */
     tokens: number;
     filledMs: number;
     part: number;
@@ -45,16 +46,19 @@
 const memoryMs = 1_000;
 /** Demand, in operations a second, that each host counts as having; keeps a part for the first operation. */
 const idleDemand = 0.3;
-/** Share of its part of the burst that a starting host has at hand: others may have just used theirs. */
-const startShare = 0.3;
-/** Largest part that a host takes before it has heard from any other. */
-const loneCapacity = 1;
+/**
+ * Time for whose rate a starting host has tokens at hand, in milliseconds: at least as long as its start takes,
+ * when it admitted nothing.
+ */
+const startMs = 1_000;
+/** Hosts that a starting host assumes until it has heard how many there are. */
+const assumedHosts = 8;
 
 /** Creates an allowance for a host that knows of no other. */
 export function createAllowance(): Allowance {
     let limits: ReadonlyMap<string, Limit> = new Map();
     const buckets = new Map<string, Bucket>();
-    let fleet: Fleet = { others: [], unheard: 0 };
+    let fleet: Fleet | undefined;
 
     function bucket(organisation: string, nowMs: number): Bucket {
         const known = buckets.get(organisation);
@@ -62,14 +66,15 @@
             return known;
         }
         const part = evenPart();
-        const burst = limits.get(organisation)?.burst ?? 0;
-        const created = { tokens: burst * part * startShare, filledMs: nowMs, part, demand: 0, demandMs: nowMs };
+        const limit = limits.get(organisation) ?? { ratePerSecond: 0, burst: 0 };
+        const tokens = part * Math.min(limit.burst, limit.ratePerSecond * startMs / 1_000);
+        const created = { tokens, filledMs: nowMs, part, demand: 0, demandMs: nowMs };
         buckets.set(organisation, created);
         return created;
     }
 
     function evenPart(): number {
-        return loneCapacity / (1 + fleet.others.length + fleet.unheard);
+        return 1 / (fleet === undefined ? assumedHosts : 1 + fleet.others.length + fleet.unheard);
     }
 
     function decay(entry: Bucket, nowMs: number): void {
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -80,6 +80,8 @@
 const outageMs = 2_500;
 const tickMs = 100;
 const shareMs = 250;
+/** Time after which a host that knows of no other takes itself as the only one, in milliseconds. */
+const aloneMs = 2_000;
 const flushMs = 5_000;
 const catalogueMs = 1_000;
 /** Time in which the platform takes a host that is not ready out of rotation, in milliseconds: two misses. */
@@ -262,6 +264,12 @@
         };
     }
 
+    function shareLimits(startMs: number): void {
+        if (peers().all().length > 0 || clock.now() - startMs > aloneMs) {
+            allowance().share(peers().fleet(), clock.now());
+        }
+    }
+
     function ready(): boolean {
         return !stopping && follower().policy().version > 0 && directory().all().length > 0
             && tenures().all().length > 0;
@@ -340,13 +348,14 @@
     lifecycle.add({
         name: "upkeep",
         start() {
+            const startMs = clock.now();
             stopTimers = [
                 clock.every(tickMs, () => {
                     knowledge().look();
                     knowledge().judgeProof();
                     noteReadiness();
                 }),
-                clock.every(shareMs, () => allowance().share(peers().fleet(), clock.now())),
+                clock.every(shareMs, () => shareLimits(startMs)),
                 clock.every(catalogueMs, () => knowledge().refresh()),
                 clock.every(flushMs, () => events().flush()),
             ];
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** The daemon on a platform that has database groups with terms. */
 import { performance } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
