--- /dev/null
+++ b/src/core/share.test.ts
@@ -0,0 +1,21 @@
+import * as chai from "chai";
+import * as share from "./share.js";
+
+describe("share", () => {
+    const hosts = ["a", "b", "c", "d", "e", "f"];
+
+    it("divides all connections and no more", () => {
+        for (const most of [0, 1, 5, 15, 59, 100]) {
+            for (const endpoint of ["i-1", "i-2", "i-3"]) {
+                const kept = hosts.map(host => share.divide(most, endpoint, hosts, host, 0).kept);
+                chai.expect(kept.reduce((sum, value) => sum + value, 0)).to.equal(most);
+                chai.expect(Math.max(...kept) - Math.min(...kept)).to.be.at.most(1);
+            }
+        }
+    });
+
+    it("leaves nothing to spare when the other hosts hold the rest", () => {
+        chai.expect(share.divide(15, "i-1", hosts, "a", 15).spare).to.equal(0);
+        chai.expect(share.divide(15, "i-1", hosts, "a", 8).spare).to.equal(5);
+    });
+});
--- /dev/null
+++ b/src/core/share.ts
@@ -0,0 +1,46 @@
+/** How the hosts divide an endpoint's few connections among themselves, without talking about it. */
+import * as rendezvous from "./rendezvous.js";
+
+/** Connections that one host may open. */
+export interface Share {
+    /** Those that it may keep. */
+    readonly kept: number;
+    /** Those beyond that which the other hosts leave free at the moment. */
+    readonly spare: number;
+}
+
+/** Connections that are never counted as free, so that hosts which stretch at the same moment rarely collide. */
+const margin = 2;
+const maxCached = 4_096;
+const orders = new Map<string, readonly string[]>();
+
+/**
+ * The share of one host. What does not divide evenly goes to the hosts that come first for this endpoint, so that
+ * no host is favoured at all endpoints.
+ */
+export function divide(
+    most: number,
+    endpoint: string,
+    hosts: readonly string[],
+    self: string,
+    open: number,
+): Share {
+    const count = Math.max(1, hosts.length);
+    const even = Math.floor(most / count);
+    const left = most - even * count;
+    const kept = even + (left > 0 && rank(endpoint, hosts, self) < left ? 1 : 0);
+    return { kept, spare: Math.max(0, most - margin - open) };
+}
+
+function rank(endpoint: string, hosts: readonly string[], self: string): number {
+    const key = `${endpoint} ${hosts.join(" ")}`;
+    const known = orders.get(key);
+    const order = known ?? rendezvous.order(endpoint, hosts);
+    if (known === undefined) {
+        if (orders.size >= maxCached) {
+            orders.clear();
+        }
+        orders.set(key, order);
+    }
+    return order.indexOf(self);
+}
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -2,6 +2,7 @@
 import type * as directory from "../core/directory.js";
 import type * as placement from "../core/placement.js";
 import type * as positions from "../core/position.js";
+import type * as shares from "../core/share.js";
 import type * as succession from "../core/succession.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -17,7 +18,7 @@
     /** Time to the endpoint and back, in milliseconds. */
     readonly roundTripMs: number;
     /** Connections that this host may keep open. */
-    share(): number;
+    share(): shares.Share;
 }
 
 /** What an answer tells beside itself. */
@@ -33,8 +34,10 @@
     readonly pool: pools.Pool;
     readonly address: string;
     readonly born: number;
-    /** Notes the outcome of an attempt to reach the endpoint. */
-    reached(answered: boolean): void;
+    /** Notes that the endpoint answered. */
+    answered(): void;
+    /** Notes that a request of the given moment got no answer. */
+    lost(askedMs: number, reason: string): void;
     /** Takes in an answer to a request of the given moment. */
     observe(reply: connections.Reply, askedMs: number, sight: Sight): void;
     contact(): succession.Contact;
@@ -66,17 +69,19 @@
     let answeredMs: number | undefined;
     let failingMs: number | undefined;
 
-    function reached(answered: boolean): void {
-        if (answered) {
-            if (failingMs !== undefined) {
-                events.emit("endpointRegained", { ...name, lostMs: Math.round(clock.now() - failingMs) });
-            }
-            answeredMs = clock.now();
-            failingMs = undefined;
+    function answered(): void {
+        if (failingMs !== undefined) {
+            events.emit("endpointRegained", { ...name, lostMs: Math.round(clock.now() - failingMs) });
         }
-        else if (failingMs === undefined) {
-            failingMs = clock.now();
-            events.emit("endpointLost", name);
+        answeredMs = clock.now();
+        failingMs = undefined;
+    }
+
+    function lost(askedMs: number, reason: string): void {
+        // An answer that came since the request was sent shows that the endpoint lives.
+        if (failingMs === undefined && askedMs > (answeredMs ?? -Infinity)) {
+            failingMs = askedMs;
+            events.emit("endpointLost", { ...name, reason, sinceMs: Math.round(clock.now() - askedMs) });
         }
     }
 
@@ -97,16 +102,18 @@
         dialer: options.dialer,
         clock,
         share: () => options.share(),
-        reached,
+        answered,
+        lost,
     });
 
     return {
         pool,
-        reached,
+        answered,
+        lost,
         address: listed.address,
         born: listed.born,
         observe(reply, askedMs, { ran, floorAgeMs }) {
-            reached(true);
+            answered();
             applied = reply.position ?? applied;
             if (floorAgeMs !== undefined) {
                 noteLag(reply, floorAgeMs);
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -202,7 +202,8 @@
     async function followConfiguration(): Promise<void> {
         let after = await readConfiguration();
         for (let quiet = 0; !closed && after !== undefined; quiet += 1) {
-            const waited = noted(await remote.watch(options.documents.configurationKey, after, watchMs));
+            // A watch may hear nothing though the store is well, so it tells nothing of the store.
+            const waited = await remote.watch(options.documents.configurationKey, after, watchMs);
             if (waited.isErr()) {
                 return;
             }
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -6,6 +6,7 @@
 import type * as policies from "../core/policy.js";
 import * as positions from "../core/position.js";
 import * as samples from "../core/samples.js";
+import type * as shares from "../core/share.js";
 import type * as succession from "../core/succession.js";
 import type * as tenure from "../core/tenure.js";
 import type * as connections from "../ports/connection.js";
@@ -27,8 +28,8 @@
     /** True when no suspension of this host was noticed since the moment. */
     trusts(sinceMs: number): boolean;
     regionOf(failureDomain: string): string | undefined;
-    /** Connections that this host may keep open to each endpoint. */
-    share(): number;
+    /** Connections that this host may open to an endpoint. */
+    share(endpoint: string): shares.Share;
     /** Statements at an endpoint from all other hosts. */
     otherLoad(endpoint: string): number;
     endpoints(): readonly directory.Endpoint[];
@@ -73,7 +74,7 @@
     /** Takes in what an answer shows of the endpoint. */
     observe(endpoint: string, reply: connections.Reply, askedMs: number, sight: endpoints.Sight): void;
     /** Takes in that an endpoint gave no answer. */
-    lost(endpoint: string): void;
+    lost(endpoint: string, askedMs: number, reason: string): void;
     /** True while the endpoint is known to be the primary, for new work. */
     leads(endpoint: string): boolean;
     /** True while what the endpoint has just done as primary may be acknowledged. */
@@ -91,8 +92,8 @@
     newest(): samples.Sample | undefined;
     /** Contact with the primary. */
     contact(): succession.Contact;
-    /** Notes the outcome of an attempt to reach an endpoint. */
-    reached(endpoint: string, answered: boolean): void;
+    /** Takes in that an endpoint answered. */
+    answered(endpoint: string): void;
     roundTripMs(endpoint: string): number;
     /** Forgets what rests on ages. */
     doubt(): void;
@@ -132,7 +133,7 @@
             dialer: options.dialer,
             events: options.events,
             roundTripMs: roundTripMs(listed.failureDomain),
-            share: () => options.share(),
+            share: () => options.share(listed.id),
         });
         views.set(listed.id, created);
         return created;
@@ -215,7 +216,7 @@
 
     return {
         name,
-        reached: (endpoint, answered) => views.get(endpoint)?.reached(answered),
+        answered: endpoint => views.get(endpoint)?.answered(),
         place(need) {
             if (need.write || need.consistency.kind === "primary") {
                 return placePrimary();
@@ -247,7 +248,7 @@
                 known.offer({ position: reply.position, askedMs });
             }
         },
-        lost: endpoint => views.get(endpoint)?.reached(false),
+        lost: (endpoint, askedMs, reason) => views.get(endpoint)?.lost(askedMs, reason),
         leads: endpoint => tenures.leads(name, endpoint, clock.now()),
         acknowledges: endpoint => tenures.acknowledges(name, endpoint, clock.now()),
         enter(endpoint) {
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -1,6 +1,7 @@
 /** What this host knows, and how it learns: from the store, from other hosts, and from its own clocks. */
 import type * as allowances from "../core/allowance.js";
 import type * as directories from "../core/directory.js";
+import * as shares from "../core/share.js";
 import * as suspensions from "../core/suspension.js";
 import type * as tenure from "../core/tenure.js";
 import type * as connections from "../ports/connection.js";
@@ -60,8 +61,8 @@
 /** Share of digests that name other hosts: the store names them too. */
 const knownShare = 0.2;
 const catalogueTimeoutMs = 1_000;
-/** Connections of each endpoint kept free for probes and for hosts that are just starting. */
-const reservedConnections = 2;
+/** Connections of each endpoint kept free for the probe of the host that replaces primaries. */
+const reservedConnections = 1;
 
 /** Creates the knowledge of a host that knows nothing. */
 export function createKnowledge(options: Options): Knowledge {
@@ -101,7 +102,7 @@
             tenures: tenures,
             trusts,
             regionOf: domain => options.failureDomains[domain],
-            share: () => share(name),
+            share: endpoint => share(name, endpoint),
             otherLoad: endpoint => peers().load(endpoint),
             endpoints: () => directory.ofGroup(name),
         });
@@ -110,10 +111,10 @@
         return created;
     }
 
-    function share(name: string): number {
-        const most = follower().policy().groups.get(name)?.maxConnections ?? 1;
-        const { others, unheard } = peers().fleet();
-        return Math.max(1, Math.floor((most - reservedConnections) / (1 + others.length + unheard)));
+    function share(name: string, endpoint: string): shares.Share {
+        const most = (follower().policy().groups.get(name)?.maxConnections ?? 1) - reservedConnections;
+        const open = peers().connections(endpoint) + (groups.get(name)?.pool(endpoint)?.size() ?? 0);
+        return shares.divide(most, endpoint, peers().holders(), options.self().id, open);
     }
 
     function changed(): void {
@@ -169,6 +170,12 @@
         }
     }
 
+    function collect(
+        read: (entry: groupsPart.Group) => Readonly<Record<string, number>>,
+    ): Readonly<Record<string, number>> {
+        return Object.assign({}, ...[...groups.values()].map(read)) as Record<string, number>;
+    }
+
     function digest(): messages.Digest {
         const nowMs = clock.now();
         const ageMs = tenures.ageMs(nowMs);
@@ -188,7 +195,8 @@
                 return contact === undefined ? [] : [{ group: record.group, primary: record.primary, ...contact }];
             }),
             demand: allowance.demand(nowMs),
-            load: Object.assign({}, ...[...groups.values()].map(entry => entry.load())) as Record<string, number>,
+            load: collect(entry => entry.load()),
+            connections: collect(entry => entry.connections()),
             known: options.random() < knownShare ? peers().heard().map(peer => peer.member) : [],
         };
     }
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -45,6 +45,8 @@
     demand: z.record(z.string(), z.number()).readonly(),
     /** Statements running and waiting, by endpoint. */
     load: z.record(z.string(), z.number()).readonly(),
+    /** Connections open, by endpoint. */
+    connections: z.record(z.string(), z.number()).readonly(),
     /** Ids and addresses of hosts that the sender knows. */
     known: z.array(member).readonly(),
 }).readonly();
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -53,6 +53,10 @@
     fleet(): allowances.Fleet;
     /** Statements at an endpoint from the other hosts. */
     load(endpoint: string): number;
+    /** Connections to an endpoint from the other hosts. */
+    connections(endpoint: string): number;
+    /** Ids of all hosts that may hold connections, this one included, in order. */
+    holders(): readonly string[];
     start(): void;
     /** Tells the others at once that this host leaves. */
     tell(): Promise<void>;
@@ -244,6 +248,15 @@
             return { others, unheard };
         },
         load: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.load[endpoint] ?? 0), 0),
+        connections: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.connections[endpoint] ?? 0), 0),
+        holders: () =>
+            [
+                self.id,
+                ...[...entries.values()].filter(entry => entry.registered || !silent(entry)).map(entry =>
+                    entry.member.id
+                ),
+            ]
+                .sort(),
         start() {
             round();
             stop = clock.every(intervalMs, round);
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -5,6 +5,7 @@
 import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
 import * as queues from "../core/queue.js";
+import type * as shares from "../core/share.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 
@@ -19,10 +20,11 @@
     readonly slots: number;
     readonly dialer: connections.Dialer;
     readonly clock: runtime.HostClock;
-    /** Connections that this host may keep open. */
-    share(): number;
-    /** Told how each attempt to reach the endpoint went. */
-    reached(answered: boolean): void;
+    share(): shares.Share;
+    /** Told that the endpoint answered. */
+    answered(): void;
+    /** Told that an attempt of the given moment to reach it failed. */
+    lost(askedMs: number, reason: string): void;
 }
 
 /** One statement's claim. */
@@ -94,8 +96,8 @@
     let closed = false;
 
     function limit(): number {
-        const share = Math.max(1, options.share());
-        return clock.now() < crowdedUntilMs ? share : share + stretch;
+        const { kept, spare } = options.share();
+        return Math.max(1, kept) + (clock.now() < crowdedUntilMs ? 0 : Math.min(stretch, spare));
     }
 
     function overloaded(retryAfterMs: number): failure.Failure {
@@ -156,10 +158,11 @@
             if (leftMs <= 0 || closed) {
                 return neverthrow.err(overloaded(retryMs));
             }
+            const askedMs = clock.now();
             const target = { endpoint, group, address, organisation: claim.organisation };
             const dialed = await options.dialer.dial(target, Math.min(dialTimeoutMs, leftMs));
             if (dialed.isOk()) {
-                options.reached(true);
+                options.answered();
                 const { organisation } = claim;
                 return neverthrow.ok({
                     connection: dialed.value,
@@ -170,9 +173,8 @@
                 });
             }
             if (dialed.error !== "tooMany") {
-                const refused = typeof dialed.error === "string";
-                options.reached(refused && dialed.error !== "misrouted");
                 const why = typeof dialed.error === "string" ? dialed.error : dialed.error.message;
+                options.lost(askedMs, why);
                 const message = `Endpoint ${endpoint} can't be reached: ${why}.`;
                 return neverthrow.err(failure.create(failure.Code.endpointUnreachable, endpoint, message, retryMs));
             }
@@ -212,7 +214,7 @@
     function sweep(): void {
         const nowMs = clock.now();
         queue.expire(nowMs).forEach(ticket => ticket.value.settle(neverthrow.err(overloaded(retryMs))));
-        const spare = busy + free.length - Math.max(1, options.share());
+        const spare = busy + free.length - Math.max(1, options.share().kept);
         const stale = free.filter(held => nowMs - held.freeMs > idleMs).slice(0, Math.max(0, spare));
         if (stale.length > 0) {
             free = free.filter(held => !stale.includes(held));
--- a/src/proxy/promoter.ts
+++ b/src/proxy/promoter.ts
@@ -108,8 +108,12 @@
         const askedMs = clock.now();
         const status = await options.probes.order(endpoint, { kind: "status" });
         entry.looking = false;
-        group.reached(endpoint.id, status !== undefined);
-        if (status === undefined || status === "busy") {
+        if (status === undefined) {
+            group.lost(endpoint.id, askedMs, "no answer to a probe");
+            return;
+        }
+        group.answered(endpoint.id);
+        if (status === "busy") {
             return;
         }
         entry.resigned = !status.primary;
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -50,7 +50,7 @@
 
 const confirmMs = 250;
 /** Time for which the store must have answered steadily for confirmations to replace waiting, in milliseconds. */
-const steadyMs = 10_000;
+const steadyMs = 3_000;
 /** Longest wait for a replica to receive the last commits of a primary that stepped down, in milliseconds. */
 const catchUpMs = 800;
 /** Longest wait for a promoted replica to lead, in milliseconds. */
@@ -175,7 +175,9 @@
         }
         const endpoints = options.endpoints(group.name);
         const old = endpoints.find(endpoint => endpoint.id === before.primary);
-        const seen = await statuses(endpoints);
+        // A primary that no host hears is not waited for; it is still told, in case it comes back.
+        const silent = reason === "silent" || reason === "gone";
+        const seen = await statuses(silent ? endpoints.filter(endpoint => endpoint !== old) : endpoints);
         const led = [...seen].find(([, status]) => status.primary && status.term > before.term);
         if (led !== undefined) {
             return settle(group.name, led[0], led[1].term);
@@ -187,7 +189,8 @@
             return settle(group.name, before.primary, standing.term);
         }
         const term = Math.max(before.term, ...[...seen.values()].map(status => status.term));
-        const ended = alone ? undefined : await stepDown(old, term + 1);
+        const stopping = alone ? undefined : stepDown(old, term + 1);
+        const ended = silent ? undefined : await stopping;
         const heir = alone ? old : await pick(group, endpoints, before.primary, ended);
         const token = options.token();
         if (heir === undefined || token === undefined) {
--- a/src/proxy/runner.ts
+++ b/src/proxy/runner.ts
@@ -55,10 +55,11 @@
         }
         const write = statement.mode === "write";
         const needsLead = write || place.after === undefined;
+        const preparedMs = clock.now();
         if (!await statements.prepare(lease.value, context, statement, clock)) {
             lease.value.discard();
-            group.lost(endpoint);
             const message = `Endpoint ${endpoint} did not take the session's values.`;
+            group.lost(endpoint, preparedMs, message);
             const cause = failure.create(failure.Code.endpointUnreachable, endpoint, message, statements.retryMs);
             return neverthrow.err({ cause, again: true });
         }
@@ -78,8 +79,8 @@
         leave();
         if (answered.isErr()) {
             lease.value.discard();
-            group.lost(endpoint);
             const { sent, message } = answered.error;
+            group.lost(endpoint, askedMs, message);
             if (!sent) {
                 const cause = failure.create(failure.Code.endpointUnreachable, endpoint, message, statements.retryMs);
                 return neverthrow.err({ cause, again: true });
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -57,9 +57,10 @@
             return neverthrow.err(acquired.error);
         }
         const lease = acquired.value;
+        const preparedMs = clock.now();
         if (!await statements.prepare(lease, context, undefined, clock)) {
             lease.discard();
-            group.lost(endpoint);
+            group.lost(endpoint, preparedMs, "the session's values were not taken");
             return neverthrow.err(statements.changed(endpoint));
         }
         const askedMs = clock.now();
@@ -70,7 +71,7 @@
         );
         if (begun.isErr()) {
             lease.discard();
-            group.lost(endpoint);
+            group.lost(endpoint, askedMs, begun.error.message);
             return neverthrow.err(statements.changed(endpoint));
         }
         const { outcome, state } = begun.value;
@@ -129,9 +130,10 @@
         async within(transaction, statement, context) {
             const { lease, endpoint } = transaction;
             const { group } = context;
+            const preparedMs = clock.now();
             if (!await statements.prepare(lease, context, statement, clock)) {
                 lease.discard();
-                group.lost(endpoint);
+                group.lost(endpoint, preparedMs, "the session's values were not taken");
                 return neverthrow.err(
                     statements.refuse(
                         statements.aborted(endpoint, "the endpoint was lost"),
@@ -151,7 +153,7 @@
                 );
                 if (answered.isErr()) {
                     lease.discard();
-                    group.lost(endpoint);
+                    group.lost(endpoint, askedMs, answered.error.message);
                     return neverthrow.err(
                         statements.refuse(
                             statements.aborted(endpoint, answered.error.message),
@@ -205,7 +207,7 @@
                 leave();
                 if (answered.isErr()) {
                     lease.discard();
-                    group.lost(endpoint);
+                    group.lost(endpoint, askedMs, answered.error.message);
                     return neverthrow.err(
                         statements.refuse(
                             statements.unknown(endpoint, answered.error.message),
