--- a/src/core/allowance.test.ts
+++ b/src/core/allowance.test.ts
@@ -21,7 +21,11 @@
     hosts.forEach(host => host.allowance.limit(limits));
     for (let nowMs = 0; nowMs < lengthMs; nowMs += 5) {
         if (nowMs % 500 === 0) {
-            const told = hosts.map(host => host.allowance.demand(nowMs));
+            const told = hosts.map((host, id) => ({
+                id: String(id),
+                account: host.allowance.account(nowMs),
+                ageMs: 250,
+            }));
             hosts.forEach((host, self) => {
                 const others = told.filter((_, other) =>
                     other !== self && !unheard(other, nowMs) && !unheard(self, nowMs)
@@ -67,6 +71,12 @@
         chai.expect(admitted.length).to.be.at.least(90 * 20 * 0.9);
     });
 
+    it("keeps a tenant that suddenly asks seven and a half times its usual to the bound", () => {
+        const rates = [0, 1, 2, 3, 4, 5].map(() => (nowMs: number) => (nowMs > 10_000 ? 70 : 9.4));
+        const { admitted } = play(rates, 20_000);
+        chai.expect(busiest(admitted)).to.be.at.most(bound);
+    });
+
     it("keeps to the bound while the load moves from host to host", () => {
         const moving = [0, 1, 2, 3, 4, 5].map(
             host => (nowMs: number) => (Math.floor(nowMs / 700) % 6 === host ? 400 : 0),
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -1,7 +1,8 @@
 /**
- * This host's part of each organisation's rate and burst. The parts follow demand: each host tells the others
- * how much was asked of it lately, and takes the same part of the limit as it has of the whole demand. A host
- * that can't hear all others takes no more than an even part.
+ * Each organisation's rate and burst over all hosts, kept without a counter that all would have to ask. Every host
+ * keeps an account of the whole limit: it fills at the rate, and what each host admitted is taken off as the hosts
+ * tell each other. Between two accounts from the others a host spends no more than its part of what is left, and
+ * the parts follow demand. What one host does not use is back in every account with the next exchange.
  */
 import * as failure from "./failure.js";
 
@@ -11,13 +12,31 @@
     readonly burst: number;
 }
 
-/** Operations asked of one host lately, a second, by organisation. */
-export type Demand = Readonly<Record<string, number>>;
+/** What one host tells of one organisation. */
+export interface Usage {
+    /** Operations asked lately, a second. */
+    readonly demand: number;
+    /** Operations admitted since the host's start. */
+    readonly admitted: number;
+    /** Operations left over all hosts, as the host sees it. */
+    readonly left: number;
+}
+
+/** What one host tells of all organisations that it saw lately. */
+export type Account = Readonly<Record<string, Usage>>;
 
-/** What the parts are worked out from. */
+/** Another host's account. */
+export interface Other {
+    /** Differs between two processes of one host, whose counts start anew. */
+    readonly id: string;
+    readonly account: Account;
+    /** Time since the host told it, in milliseconds. */
+    readonly ageMs: number;
+}
+
+/** The other hosts. */
 export interface Fleet {
-    /** Demand of each other host that was heard lately. */
-    readonly others: readonly Demand[];
+    readonly others: readonly Other[];
     /** Other hosts that exist but were not heard lately. */
     readonly unheard: number;
 }
@@ -25,93 +44,165 @@
 /** Admits operations of organisations. */
 export interface Allowance {
     limit(limits: ReadonlyMap<string, Limit>): void;
-    /** Takes in what the other hosts said. */
+    /** Takes in what the other hosts told. */
     share(fleet: Fleet, nowMs: number): void;
-    /** Takes one operation from the allowance; the time to come back when there is none. */
+    /** Takes one operation from the account; the time to come back when there is none. */
     admit(organisation: string, nowMs: number): { readonly admitted: boolean; readonly retryAfterMs: number };
-    /** Demand of this host, to be told to the others. */
-    demand(nowMs: number): Demand;
+    /** What this host tells the others. */
+    account(nowMs: number): Account;
 }
 
-interface Bucket {
-    /** Operations that may be admitted at once. */
-    tokens: number;
+interface Book {
+    /** Operations left over all hosts, as far as known. */
+    left: number;
+    /** Operations that this host may still admit. */
+    credit: number;
+    /** True until one operation was admitted beyond the credit since the last exchange. */
+    pass: boolean;
     filledMs: number;
     part: number;
     demand: number;
     demandMs: number;
+    admitted: number;
+    /** What each other host had admitted when last heard. */
+    readonly seen: Map<string, number>;
+    readonly openedMs: number;
 }
 
-/** Time constant of the demand estimate, in milliseconds: a few exchanges between hosts. */
+/** Time constant of the demand estimate, in milliseconds: two exchanges between hosts. */
 const memoryMs = 1_000;
 /** Demand, in operations a second, that each host counts as having; keeps a part for the first operation. */
 const idleDemand = 0.3;
 /**
- * Time for whose rate a starting host has tokens at hand, in milliseconds: at least as long as its start takes,
- * when it admitted nothing.
+ * Time for whose rate a starting host counts operations as left, in milliseconds: at least as long as its start
+ * takes, when it admitted nothing.
  */
 const startMs = 1_000;
+/**
+ * Part of the burst that is counted on; the rest covers what hosts admit at the same moment without knowing of each
+ * other.
+ */
+const countedBurst = 0.85;
 /** Hosts that a starting host assumes until it has heard how many there are. */
 const assumedHosts = 8;
+/** Time for which a host takes others' accounts for its own, in milliseconds: until it has heard most of them. */
+const adoptMs = 2_000;
+/** Longest debt after hosts were apart, in milliseconds of the rate; a longer one would punish the organisation. */
+const debtMs = 1_000;
+/** Operations by which all hosts together may overdraw their credits between two exchanges. */
+const overdraft = 6;
+/** Demand below which an organisation is left out of the account told to others, in operations a second. */
+const leastDemand = 0.01;
 
 /** Creates an allowance for a host that knows of no other. */
 export function createAllowance(): Allowance {
     let limits: ReadonlyMap<string, Limit> = new Map();
-    const buckets = new Map<string, Bucket>();
-    let fleet: Fleet | undefined;
+    const books = new Map<string, Book>();
+    let hosts: number | undefined;
+    /** Part of each limit that the hosts heard lately may use; the rest is left to those that were not. */
+    let reach = 1;
 
-    function bucket(organisation: string, nowMs: number): Bucket {
-        const known = buckets.get(organisation);
+    function open(organisation: string, limit: Limit, nowMs: number): Book {
+        const known = books.get(organisation);
         if (known !== undefined) {
             return known;
         }
-        const part = evenPart();
-        const limit = limits.get(organisation) ?? { ratePerSecond: 0, burst: 0 };
-        const tokens = part * Math.min(limit.burst, limit.ratePerSecond * startMs / 1_000);
-        const created = { tokens, filledMs: nowMs, part, demand: 0, demandMs: nowMs };
-        buckets.set(organisation, created);
+        const left = Math.min(limit.burst, limit.ratePerSecond * startMs / 1_000);
+        const part = 1 / (hosts ?? assumedHosts);
+        const created: Book = {
+            left,
+            credit: left * part,
+            pass: hosts !== undefined,
+            filledMs: nowMs,
+            part,
+            demand: 0,
+            demandMs: nowMs,
+            admitted: 0,
+            seen: new Map(),
+            openedMs: nowMs,
+        };
+        books.set(organisation, created);
         return created;
     }
 
-    function evenPart(): number {
-        return 1 / (fleet === undefined ? assumedHosts : 1 + fleet.others.length + fleet.unheard);
+    function decay(book: Book, nowMs: number): number {
+        book.demand *= Math.exp((book.demandMs - nowMs) / memoryMs);
+        book.demandMs = nowMs;
+        return book.demand * 1_000 / memoryMs;
     }
 
-    function decay(entry: Bucket, nowMs: number): void {
-        entry.demand *= Math.exp((entry.demandMs - nowMs) / memoryMs);
-        entry.demandMs = nowMs;
+    function fill(book: Book, limit: Limit, nowMs: number): void {
+        const gained = limit.ratePerSecond * reach * (nowMs - book.filledMs) / 1_000;
+        book.left = Math.min(limit.burst * countedBurst * reach, book.left + gained);
+        book.credit += gained * book.part;
+        book.filledMs = nowMs;
     }
 
-    function fill(entry: Bucket, limit: Limit, nowMs: number): void {
-        const gained = limit.ratePerSecond * entry.part * (nowMs - entry.filledMs) / 1_000;
-        entry.tokens = Math.min(Math.max(1, limit.burst * entry.part), entry.tokens + gained);
-        entry.filledMs = nowMs;
+    /** Takes off what the other hosts admitted. */
+    function settle(book: Book, organisation: string, limit: Limit, others: readonly Other[], nowMs: number): void {
+        const young = nowMs - book.openedMs < adoptMs;
+        for (const other of others) {
+            const told = other.account[organisation];
+            if (told === undefined) {
+                continue;
+            }
+            const before = book.seen.get(other.id);
+            if (before !== undefined) {
+                book.left -= told.admitted - before;
+            }
+            else if (young) {
+                book.left = Math.min(book.left, told.left);
+            }
+            else {
+                book.left -= told.admitted;
+            }
+            book.seen.set(other.id, told.admitted);
+        }
+        book.left = Math.max(book.left, -limit.ratePerSecond * debtMs / 1_000);
     }
 
-    function rate(entry: Bucket): number {
-        return entry.demand * 1_000 / memoryMs;
+    /** Gives this host its part of what is left, less what the others are expected to have admitted since they told. */
+    function divide(book: Book, organisation: string, limit: Limit, others: readonly Other[], nowMs: number): void {
+        const demandOf = (other: Other): number => other.account[organisation]?.demand ?? 0;
+        const own = decay(book, nowMs) + idleDemand;
+        const total = others.reduce((sum, other) => sum + demandOf(other) + idleDemand, own);
+        const served = Math.min(1, limit.ratePerSecond * reach / total);
+        const pending = others.reduce((sum, other) => sum + demandOf(other) * served * other.ageMs / 1_000, 0);
+        book.part = own / total;
+        book.credit = (book.left - pending) * book.part;
+        book.pass = book.left - pending >= 1 && reach === 1;
     }
 
     return {
         limit(next) {
             limits = next;
         },
-        share(next, nowMs) {
-            fleet = next;
-            for (const [organisation, entry] of buckets) {
+        share({ others, unheard }, nowMs) {
+            // Up to now the operations accrued by the reach that held until now.
+            for (const [organisation, book] of books) {
+                const limit = limits.get(organisation);
+                if (limit !== undefined) {
+                    fill(book, limit, nowMs);
+                }
+            }
+            hosts = 1 + others.length + unheard;
+            reach = 1 - unheard / hosts;
+            for (const other of others) {
+                for (const organisation of Object.keys(other.account)) {
+                    const limit = limits.get(organisation);
+                    if (limit !== undefined) {
+                        open(organisation, limit, nowMs);
+                    }
+                }
+            }
+            for (const [organisation, book] of books) {
                 const limit = limits.get(organisation);
                 if (limit === undefined) {
-                    buckets.delete(organisation);
+                    books.delete(organisation);
                     continue;
                 }
-                decay(entry, nowMs);
-                fill(entry, limit, nowMs);
-                const own = rate(entry) + idleDemand;
-                const heard = next.others.map(other => (other[organisation] ?? 0) + idleDemand);
-                const total = heard.reduce((sum, value) => sum + value, own);
-                // A host that was not heard counts as having an even part, which it may still use.
-                const free = 1 - next.unheard / (1 + next.others.length + next.unheard);
-                entry.part = next.unheard > 0 && next.others.length === 0 ? evenPart() : free * own / total;
+                settle(book, organisation, limit, others, nowMs);
+                divide(book, organisation, limit, others, nowMs);
             }
         },
         admit(organisation, nowMs) {
@@ -119,22 +210,35 @@
             if (limit === undefined) {
                 return { admitted: false, retryAfterMs: memoryMs };
             }
-            const entry = bucket(organisation, nowMs);
-            decay(entry, nowMs);
-            entry.demand += 1;
-            fill(entry, limit, nowMs);
-            if (entry.tokens < 1) {
-                const perSecond = Math.max(limit.ratePerSecond * entry.part, Number.EPSILON);
-                return { admitted: false, retryAfterMs: Math.min(memoryMs, (1 - entry.tokens) * 1_000 / perSecond) };
+            const book = open(organisation, limit, nowMs);
+            decay(book, nowMs);
+            book.demand += 1;
+            fill(book, limit, nowMs);
+            const least = 1 - Math.min(1, overdraft / (hosts ?? assumedHosts));
+            if (book.credit <= least || (book.credit < 1 && book.left < 1)) {
+                if (!book.pass || book.left < 1) {
+                    const perSecond = Math.max(limit.ratePerSecond * book.part, Number.EPSILON);
+                    const missing = Math.max(0.1, least - book.credit, 1 - Math.max(book.left, 0));
+                    return { admitted: false, retryAfterMs: Math.min(memoryMs, missing * 1_000 / perSecond) };
+                }
+                book.pass = false;
             }
-            entry.tokens -= 1;
+            book.credit -= 1;
+            book.left -= 1;
+            book.admitted += 1;
             return { admitted: true, retryAfterMs: 0 };
         },
-        demand(nowMs) {
-            return Object.fromEntries([...buckets].map(([organisation, entry]) => {
-                decay(entry, nowMs);
-                return [organisation, Math.round(rate(entry) * 100) / 100];
-            }));
+        account(nowMs) {
+            const told = [...books].flatMap(([organisation, book]): readonly (readonly [string, Usage])[] => {
+                const demand = Math.round(decay(book, nowMs) * 100) / 100;
+                const left = Math.round(book.left * 10) / 10;
+                return demand < leastDemand && book.admitted === 0 ? [] : [[organisation, {
+                    demand,
+                    admitted: book.admitted,
+                    left,
+                }]];
+            });
+            return Object.fromEntries(told);
         },
     };
 }
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -194,7 +194,7 @@
                 const contact = groups.get(record.group)?.contact();
                 return contact === undefined ? [] : [{ group: record.group, primary: record.primary, ...contact }];
             }),
-            demand: allowance.demand(nowMs),
+            account: allowance.account(nowMs),
             load: collect(entry => entry.load()),
             connections: collect(entry => entry.connections()),
             known: options.random() < knownShare ? peers().heard().map(peer => peer.member) : [],
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -41,8 +41,11 @@
     proofAgeMs: z.number().optional(),
     samples: z.array(sample).readonly(),
     contacts: z.array(contact).readonly(),
-    /** Operations asked lately, a second, by organisation. */
-    demand: z.record(z.string(), z.number()).readonly(),
+    /** What this host asked and admitted, by organisation. */
+    account: z.record(
+        z.string(),
+        z.object({ demand: z.number(), admitted: z.number(), left: z.number() }).readonly(),
+    ).readonly(),
     /** Statements running and waiting, by endpoint. */
     load: z.record(z.string(), z.number()).readonly(),
     /** Connections open, by endpoint. */
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -243,7 +243,15 @@
         },
         fleet() {
             const active = heard().filter(entry => !entry.member.leaving);
-            const others = active.flatMap(entry => (entry.digest === undefined ? [] : [entry.digest.demand]));
+            const others = active.flatMap(entry =>
+                entry.digest === undefined
+                    ? []
+                    : [{
+                        id: `${entry.member.id} ${entry.member.incarnation}`,
+                        account: entry.digest.account,
+                        ageMs: clock.now() - entry.heardMs,
+                    }]
+            );
             const unheard = [...entries.values()].filter(entry => silent(entry) && entry.registered).length;
             return { others, unheard };
         },
