--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -7,7 +7,7 @@
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 
-const packer = new msgpackr.Packr({ useRecords: false, encodeUndefinedAsNil: false });
+const packer = new msgpackr.Packr({ useRecords: true, encodeUndefinedAsNil: false });
 const maxMessageBytes = 32 * 1024 * 1024;
 const reconnectMs = 100;
 const maxReconnectMs = 1_000;
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -92,7 +92,7 @@
 /** Operations by which all hosts together may overdraw their credits between two exchanges. */
 const overdraft = 6;
 /** Demand below which an organisation is left out of the account told to others, in operations a second. */
-const leastDemand = 0.01;
+const leastDemand = 0.1;
 
 /** Creates an allowance for a host that knows of no other. */
 export function createAllowance(): Allowance {
@@ -230,8 +230,8 @@
         },
         account(nowMs) {
             const told = [...books].flatMap(([organisation, book]): readonly (readonly [string, Usage])[] => {
-                const demand = Math.round(decay(book, nowMs) * 100) / 100;
-                const left = Math.round(book.left * 10) / 10;
+                const demand = Math.round(decay(book, nowMs) * 10) / 10;
+                const left = Math.floor(book.left);
                 return demand < leastDemand && book.admitted === 0 ? [] : [[organisation, {
                     demand,
                     admitted: book.admitted,
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -165,6 +165,8 @@
             events: events(),
             random: surroundings.random,
             proofAgeMs: () => tenures().ageMs(clock.now()),
+            listing: () => knowledge().listing(),
+            watching: () => knowledge().watching(),
             dutiful: () => container.get<promoters.DutyHolder>(id.duty).token() !== undefined,
             contents: (contents, askedMs) => knowledge().read(contents, askedMs),
             changed: () => knowledge().changed(),
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -1,5 +1,6 @@
 /** Follows the store: this product's own keys, the operators' configuration and the list of endpoints. */
 import type * as neverthrow from "neverthrow";
+import * as crypto from "node:crypto";
 import type * as directory from "../core/directory.js";
 import * as policies from "../core/policy.js";
 import type * as runtime from "../ports/runtime.js";
@@ -16,6 +17,13 @@
     readEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string>;
 }
 
+/** A listing of endpoints that a host has. */
+export interface Listing {
+    /** Digest of what is listed. */
+    readonly hash: string;
+    readonly ageMs: number;
+}
+
 /** Settings of a follower. */
 export interface Options {
     readonly self: () => messages.Member;
@@ -28,6 +36,10 @@
     random(): number;
     /** Age of this host's proof, in milliseconds, whoever it came from. */
     proofAgeMs(): number;
+    /** The youngest listing of endpoints that another host has. */
+    listing(): Listing | undefined;
+    /** True when this host is one of those that watch the store for all. */
+    watching(): boolean;
     /** True while this host has a duty that lives in the store. */
     dutiful(): boolean;
     /** Takes in this product's own keys as they were at the moment. */
@@ -47,6 +59,10 @@
     offerEndpoints(listed: readonly directory.Endpoint[], atMs: number): void;
     /** When the newest listing of endpoints was asked for; undefined without any. */
     listedMs(): number | undefined;
+    /** The listing of endpoints that this host has. */
+    listing(): Listing | undefined;
+    /** Time since the store last answered this host, in milliseconds; Infinity when it never did. */
+    storeAgeMs(): number;
     /** Lease of this host's registration, while it certainly holds. */
     lease(): number | undefined;
     /** Time since the store last failed to answer within this host's limits; Infinity when it never did. */
@@ -61,18 +77,22 @@
     close(): void;
 }
 
-/** Time between two looks at whether to read this product's own keys, in milliseconds. */
-const contentsMs = 250;
+/** Time between two looks at whether something is to be read from the store, in milliseconds. */
+const lookMs = 250;
 /** Age of the proof from which the keys are read; other hosts' readings spare one's own, in milliseconds. */
-const staleProofMs = 600;
+const staleProofMs = 750;
+/** The same for the host that replaces primaries, which reads what it acts on, in milliseconds. */
+const dutyProofMs = 500;
 /** Longest time between two readings of the keys, in milliseconds: they also tell which hosts exist. */
-const longestReadMs = 1_200;
-/** Time between two listings of endpoints, in milliseconds; well within the time that draining may take to be seen. */
-const endpointsMs = 1_500;
+const longestReadMs = 2_500;
+/** Age of the listing of endpoints from which it is read again, in milliseconds; draining may take seconds to be seen. */
+const staleListingMs = 1_500;
 /** Longest wait of one watch, in milliseconds: a configuration is due in 3 s, also when a watch hears nothing. */
 const watchMs = 2_000;
 /** Watches without news before the configuration is read all the same. */
 const quietWatches = 2;
+/** Time between two readings of the configuration by a host that does not watch it, in milliseconds. */
+const unwatchedMs = 5_000;
 const retryMs = 250;
 /** Life of a host's registration without renewal, in milliseconds: bounds how long a dead host keeps its duty. */
 const leaseTtlMs = 2_500;
@@ -80,6 +100,16 @@
 /** Held back from the lease's life, in milliseconds: the renewal's way and the jitter of timers. */
 const leaseMarginMs = 400;
 
+const hashLength = 10;
+
+/** Text that is equal for equal listings. */
+function print(endpoints: readonly directory.Endpoint[]): string {
+    const rows = endpoints.map(entry =>
+        JSON.stringify([entry.id, entry.address, entry.draining, entry.primary, entry.born])
+    );
+    return rows.sort().join();
+}
+
 /** Creates a follower that knows nothing. */
 export function createFollower(options: Options): Follower {
     const { clock, store: remote, events } = options;
@@ -88,6 +118,10 @@
     let listedMs: number | undefined;
     let registration: { readonly lease: number; readonly untilMs: number } | undefined;
     let failedMs: number | undefined;
+    let answeredMs = -Infinity;
+    let configuredMs = -Infinity;
+    let listed: readonly directory.Endpoint[] = [];
+    let listedHash = "";
     let readMs = -Infinity;
     let down = false;
     let closed = false;
@@ -102,7 +136,10 @@
                 events.emit("storeLost", { reason: trouble.message, kind: trouble.kind });
             }
         }
-        else if (down) {
+        else {
+            answeredMs = clock.now();
+        }
+        if (trouble === undefined && down) {
             down = false;
             events.emit("storeRegained", {});
         }
@@ -145,40 +182,55 @@
     }
 
     async function follow(): Promise<void> {
-        const idleMs = clock.now() - readMs;
-        if (options.dutiful() || options.proofAgeMs() > staleProofMs || idleMs > longestReadMs) {
+        const limitMs = options.dutiful() ? dutyProofMs : staleProofMs;
+        if (options.proofAgeMs() > limitMs || clock.now() - readMs > longestReadMs) {
             await refresh();
         }
     }
 
+    /** Takes another host's word that the listing is still as known, and reads it only when there is none. */
+    async function followEndpoints(): Promise<void> {
+        const told = options.listing();
+        if (told !== undefined && told.hash === listedHash && told.ageMs < staleListingMs) {
+            take(listed, clock.now() - told.ageMs);
+        }
+        const ageMs = clock.now() - (listedMs ?? -Infinity);
+        if (ageMs >= staleListingMs || (told !== undefined && told.hash !== listedHash && told.ageMs < ageMs)) {
+            await listEndpoints();
+        }
+    }
+
     async function listEndpoints(): Promise<void> {
         const askedMs = clock.now();
         const got = noted(await remote.range(options.documents.endpointsPrefix));
         if (got.isErr()) {
             return;
         }
-        const listed = got.value.items.flatMap(item => {
-            const read = options.documents.readEndpoint(item.key, item.value);
-            if (read.isErr()) {
+        const read = got.value.items.flatMap(item => {
+            const entry = options.documents.readEndpoint(item.key, item.value);
+            if (entry.isErr()) {
                 if (!rejected.has(item.key)) {
-                    events.emit("entryRejected", { key: item.key, reason: read.error });
+                    events.emit("entryRejected", { key: item.key, reason: entry.error });
                 }
                 rejected.add(item.key);
                 return [];
             }
             rejected.delete(item.key);
-            return [read.value];
+            return [entry.value];
         });
-        take(listed, askedMs);
+        take(read, askedMs);
     }
 
-    function take(listed: readonly directory.Endpoint[], askedMs: number): void {
-        const print = (): string =>
-            JSON.stringify(options.directory.all().map(entry => [entry.id, entry.draining, entry.primary, entry.born]));
-        const before = print();
-        options.directory.replace(listed, askedMs);
+    function take(next: readonly directory.Endpoint[], askedMs: number): void {
+        if (askedMs <= (listedMs ?? -Infinity)) {
+            return;
+        }
+        const before = print(options.directory.all());
+        options.directory.replace(next, askedMs);
         listedMs = askedMs;
-        if (print() !== before) {
+        listed = next;
+        listedHash = crypto.createHash("sha1").update(print(next)).digest("base64").slice(0, hashLength);
+        if (print(options.directory.all()) !== before) {
             const endpoints = options.directory.all().map(entry => ({
                 id: entry.id,
                 group: entry.group,
@@ -195,13 +247,17 @@
         if (got.isErr()) {
             return undefined;
         }
+        configuredMs = clock.now();
         offer(got.value.item.value);
         return got.value.revision;
     }
 
     async function followConfiguration(): Promise<void> {
+        if (!options.watching() && policy.version > 0 && clock.now() - configuredMs < unwatchedMs) {
+            return;
+        }
         let after = await readConfiguration();
-        for (let quiet = 0; !closed && after !== undefined; quiet += 1) {
+        for (let quiet = 0; !closed && after !== undefined && options.watching(); quiet += 1) {
             // A watch may hear nothing though the store is well, so it tells nothing of the store.
             const waited = await remote.watch(options.documents.configurationKey, after, watchMs);
             if (waited.isErr()) {
@@ -254,11 +310,10 @@
         refresh,
         policy: () => policy,
         configuration: () => ({ version: policy.version, text }),
-        offerEndpoints(listed, atMs) {
-            if (atMs > (listedMs ?? -Infinity)) {
-                take(listed, atMs);
-            }
-        },
+        offerEndpoints: take,
+        listing:
+            () => (listedMs === undefined ? undefined : { hash: listedHash, ageMs: Math.ceil(clock.now() - listedMs) }),
+        storeAgeMs: () => clock.now() - answeredMs,
         listedMs: () => listedMs,
         lease:
             () => (registration !== undefined && registration.untilMs > clock.now() ? registration.lease : undefined),
@@ -270,8 +325,8 @@
         },
         start() {
             void repeat(register, renewMs);
-            void repeat(follow, contentsMs);
-            void repeat(listEndpoints, endpointsMs);
+            void repeat(follow, lookMs);
+            void repeat(followEndpoints, lookMs);
             void repeat(followConfiguration, retryMs);
         },
         async leave() {
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -54,6 +54,10 @@
     judgeProof(): void;
     /** Asks another host for what the store has not given for a while. */
     refresh(): void;
+    /** The youngest listing of endpoints that another host has. */
+    listing(): followers.Listing | undefined;
+    /** True when this host is one of those that watch the store for all. */
+    watching(): boolean;
 }
 
 /** Age of the endpoints' listing from which another host is asked for a newer one, in milliseconds. */
@@ -61,9 +65,18 @@
 /** Share of digests that name other hosts: the store names them too. */
 const knownShare = 0.2;
 const catalogueTimeoutMs = 1_000;
+/** Hosts that watch the configuration; the others hear of changes from them. */
+const watchers = 3;
+/** Time since the store answered a host within which the host counts on to watch it, in milliseconds. */
+const ableMs = 2_500;
 /** Connections of each endpoint kept free for the probe of the host that replaces primaries. */
 const reservedConnections = 1;
 
+/** An age in whole milliseconds, rounded up so that nothing looks younger than it is; undefined without any. */
+function whole(ageMs: number | undefined): number | undefined {
+    return ageMs === undefined || !Number.isFinite(ageMs) ? undefined : Math.ceil(ageMs);
+}
+
 /** Creates the knowledge of a host that knows nothing. */
 export function createKnowledge(options: Options): Knowledge {
     const { clock, events, tenures, directory, allowance, peers, follower, promoter } = options;
@@ -183,16 +196,23 @@
             self: options.self(),
             version: follower().policy().version,
             tenures: tenures.all(),
-            proofAgeMs: Number.isFinite(ageMs) ? ageMs : undefined,
+            proofAgeMs: whole(ageMs),
+            storeAgeMs: whole(follower().storeAgeMs()),
+            listing: follower().listing(),
             samples: [...groups.values()].flatMap(entry => {
                 const newest = entry.newest();
                 return newest === undefined
                     ? []
-                    : [{ group: entry.name, position: newest.position, ageMs: nowMs - newest.askedMs }];
+                    : [{ group: entry.name, position: newest.position, ageMs: Math.ceil(nowMs - newest.askedMs) }];
             }),
             contacts: tenures.all().flatMap(record => {
-                const contact = groups.get(record.group)?.contact();
-                return contact === undefined ? [] : [{ group: record.group, primary: record.primary, ...contact }];
+                const { answeredMs, failingMs } = groups.get(record.group)?.contact() ?? {};
+                return [{
+                    group: record.group,
+                    epoch: record.epoch,
+                    answeredMs: whole(answeredMs),
+                    failingMs: whole(failingMs),
+                }];
             }),
             account: allowance.account(nowMs),
             load: collect(entry => entry.load()),
@@ -251,6 +271,24 @@
         heard,
         judgeProof,
         groups: () => [...groups.values()],
+        listing() {
+            const told = peers().heard().flatMap(peer => {
+                const listing = peer.digest?.listing;
+                return listing === undefined
+                    ? []
+                    : [{ hash: listing.hash, ageMs: listing.ageMs + clock.now() - peer.heardMs }];
+            });
+            return told.reduce<followers.Listing | undefined>(
+                (best, next) => (best === undefined || next.ageMs < best.ageMs ? next : best),
+                undefined,
+            );
+        },
+        watching() {
+            const able = peers().heard()
+                .filter(peer => (peer.digest?.storeAgeMs ?? Infinity) < ableMs && !peer.member.leaving)
+                .map(peer => peer.member.id);
+            return able.filter(id => id < options.self().id).length < watchers;
+        },
         refresh() {
             const listedMs = follower().listedMs();
             if (listedMs === undefined || clock.now() - listedMs > staleListingMs) {
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -26,11 +26,18 @@
 
 const contact = z.object({
     group: z.string(),
-    primary: z.string(),
+    /** Epoch of the record that names the primary. */
+    epoch: z.number(),
     answeredMs: z.number().optional(),
     failingMs: z.number().optional(),
 }).readonly();
 
+const listing = z.object({
+    /** Digest of the endpoints listed: equal for equal listings. */
+    hash: z.string(),
+    ageMs: z.number().min(0),
+}).readonly();
+
 /** What a host tells another about itself and what it knows. */
 export const digest = z.object({
     self: member,
@@ -39,6 +46,10 @@
     tenures: z.array(tenure.schema).readonly(),
     /** Age of the proof that the records are in force, in milliseconds; absent without any. */
     proofAgeMs: z.number().optional(),
+    /** Time since the store last answered this host, in milliseconds; absent when it never did. */
+    storeAgeMs: z.number().optional(),
+    /** The newest listing of endpoints that the host has. */
+    listing: listing.optional(),
     samples: z.array(sample).readonly(),
     contacts: z.array(contact).readonly(),
     /** What this host asked and admitted, by organisation. */
--- a/src/proxy/promoter.ts
+++ b/src/proxy/promoter.ts
@@ -126,7 +126,7 @@
         const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
         const others = options.peers.heard().flatMap(peer => {
             const contact = peer.digest?.contacts.find(entry =>
-                entry.group === group.name && entry.primary === record.primary
+                entry.group === group.name && entry.epoch === record.epoch
             );
             if (contact === undefined) {
                 return [];
