Exchange each second in both directions; smaller digests; count what a host admitted before it was first heard

The outage rule now rests on answers alone, each good for as long as a proof (tenure.test.ts). Cause (path.test.ts, seen red: 312 of 295): a book opened late took the others' word for what was left, without what this host had admitted itself. Change: a host heard before without the organisation had admitted nothing. Cause (path.test.ts, seen red: ReferenceError in a timer): a call on a closed channel threw. Change: it answers with a failure (grpc.test.ts).

--- a/src/adapters/grpc.test.ts
+++ b/src/adapters/grpc.test.ts
@@ -50,4 +50,14 @@
         network.close();
         await server.close();
     });
+
+    it("answers a call on a closed channel with a failure and leaves no timer that throws", async () => {
+        const network = grpc.createNetwork();
+        const channel = network.channel("127.0.0.1:1");
+        channel.close();
+        const closed = await channel.call(messages.peer.status, {}, 10);
+        chai.expect(closed._unsafeUnwrapErr().code).to.equal(failure.Code.peerUnreachable);
+        await new Promise(resolve => setTimeout(resolve, 30));
+        network.close();
+    });
 });
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -136,8 +136,14 @@
             "grpc.max_reconnect_backoff_ms": maxReconnectMs,
             "grpc.enable_retries": 0,
         });
+        let closed = false;
         return {
             call(method, request, timeoutMs) {
+                if (closed) {
+                    const message = `The channel to ${address} is closed.`;
+                    const cause = failure.create(failure.Code.peerUnreachable, address, message, reconnectMs);
+                    return Promise.resolve(neverthrow.err(cause));
+                }
                 const bytes = encode(request);
                 return new Promise(resolve => {
                     // The library's own deadlines follow the time of day, which jumps.
@@ -160,6 +166,7 @@
                 });
             },
             close() {
+                closed = true;
                 channels.delete(address);
                 client.close();
             },
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -68,7 +68,6 @@
     admitted: number;
     /** What each other host had admitted when last heard. */
     readonly seen: Map<string, number>;
-    readonly openedMs: number;
 }
 
 /** Time constant of the demand estimate, in milliseconds: two exchanges between hosts. */
@@ -101,6 +100,9 @@
     let limits: ReadonlyMap<string, Limit> = new Map();
     const books = new Map<string, Book>();
     let hosts: number | undefined;
+    /** Other hosts of the exchange before. */
+    let heard: ReadonlySet<string> = new Set();
+    let startedMs: number | undefined;
     /** Part of each limit that the hosts heard lately may use; the rest is left to those that were not. */
     let reach = 1;
 
@@ -122,7 +124,6 @@
             told: 0,
             admitted: 0,
             seen: new Map(),
-            openedMs: nowMs,
         };
         books.set(organisation, created);
         return created;
@@ -143,13 +144,14 @@
 
     /** Takes off what the other hosts admitted. */
     function settle(book: Book, organisation: string, limit: Limit, others: readonly Other[], nowMs: number): void {
-        const young = nowMs - book.openedMs < adoptMs;
+        const young = nowMs - (startedMs ?? nowMs) < adoptMs;
         for (const other of others) {
             const told = other.account[organisation];
             if (told === undefined) {
                 continue;
             }
-            const before = book.seen.get(other.id);
+            // A host that was heard before without this organisation had admitted nothing of it.
+            const before = book.seen.get(other.id) ?? (heard.has(other.id) ? 0 : undefined);
             if (before !== undefined) {
                 book.left -= told.admitted - before;
             }
@@ -188,6 +190,7 @@
                     fill(book, limit, nowMs);
                 }
             }
+            startedMs ??= nowMs;
             hosts = 1 + others.length + unheard;
             reach = 1 - unheard / hosts;
             for (const other of others) {
@@ -207,6 +210,7 @@
                 settle(book, organisation, limit, others, nowMs);
                 divide(book, organisation, limit, others);
             }
+            heard = new Set(others.map(other => other.id));
         },
         admit(organisation, nowMs) {
             const limit = limits.get(organisation);
--- a/src/core/tenure.ts
+++ b/src/core/tenure.ts
@@ -31,7 +31,7 @@
 
 /** What another host shows of the store. */
 export interface Witness {
-    /** Time since it was heard, or since its address refused a connection, in milliseconds. */
+    /** Time since it was asked and answered, or refused a connection, in milliseconds. */
     readonly heardMs: number;
     /** Age of its proof; undefined when it has none. */
     readonly proofAgeMs: number | undefined;
@@ -103,8 +103,9 @@
             const oldestMs = Math.max(0, ...others.map(other => other.heardMs));
             const someProof = others.some(other => (other.proofAgeMs ?? Infinity) <= options.proofMs);
             // Without any other host nothing tells an outage from being cut off.
-            const outage = others.length > 0 && !someProof && oldestMs < options.proofMs / 2;
-            outageUntilMs = outage ? nowMs - oldestMs + options.proofMs / 2 : -Infinity;
+            const outage = others.length > 0 && !someProof;
+            // A host that reaches the store again after it was asked changes a record and waits for the proofs to end.
+            outageUntilMs = outage ? nowMs - oldestMs + options.proofMs : -Infinity;
         },
         leads(group, endpoint, nowMs) {
             const record = entries.get(group)?.record;
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -146,7 +146,6 @@
         peersPart.createPeers({
             self,
             seeds: settings.seeds,
-            near: domain => settings.failureDomains[domain] === settings.region,
             network: container.get(id.network),
             clock,
             events: events(),
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -84,7 +84,7 @@
 /** The same for the host that replaces primaries, which reads what it acts on, in milliseconds. */
 const dutyProofMs = 500;
 /** Longest time between two readings of the keys, in milliseconds: they also tell which hosts exist. */
-const longestReadMs = 2_500;
+const longestReadMs = 5_000;
 /** Age of the listing of endpoints from which it is read again, in milliseconds; draining may take seconds to be seen. */
 const staleListingMs = 1_500;
 /** Longest wait of one watch, in milliseconds: a configuration is due in 3 s, also when a watch hears nothing. */
@@ -92,7 +92,7 @@
 /** Watches without news before the configuration is read all the same. */
 const quietWatches = 2;
 /** Time between two readings of the configuration by a host that does not watch it, in milliseconds. */
-const unwatchedMs = 5_000;
+const unwatchedMs = 10_000;
 const retryMs = 250;
 /** Life of a host's registration without renewal, in milliseconds: bounds how long a dead host keeps its duty. */
 const leaseTtlMs = 2_500;
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -173,7 +173,7 @@
 
     function judgeProof(): void {
         const others = peers().all().map(peer => ({
-            heardMs: clock.now() - Math.max(peer.digest === undefined ? -Infinity : peer.heardMs, peer.refusedMs),
+            heardMs: clock.now() - Math.max(peer.askedMs, peer.refusedMs),
             proofAgeMs: peer.digest?.proofAgeMs,
         }));
         tenures.witness(others, clock.now());
@@ -190,10 +190,13 @@
         }
     }
 
-    function collect(
-        read: (entry: groupsPart.Group) => Readonly<Record<string, number>>,
-    ): Readonly<Record<string, number>> {
-        return Object.assign({}, ...[...groups.values()].map(read)) as Record<string, number>;
+    /** Statements and connections of this host, by endpoint. */
+    function use(): messages.Digest["endpoints"] {
+        const used = [...groups.values()].flatMap(entry => {
+            const load = entry.load();
+            return Object.entries(entry.connections()).map(([id, open]) => [id, [load[id] ?? 0, open]] as const);
+        });
+        return Object.fromEntries(used.filter(([, [load, open]]) => load > 0 || open > 0));
     }
 
     function digest(): messages.Digest {
@@ -222,8 +225,7 @@
                 }];
             }),
             account: allowance.account(nowMs),
-            load: collect(entry => entry.load()),
-            connections: collect(entry => entry.connections()),
+            endpoints: use(),
             known: options.random() < knownShare ? peers().heard().map(peer => peer.member) : [],
         };
     }
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -57,10 +57,8 @@
         z.string(),
         z.object({ demand: z.number(), admitted: z.number(), left: z.number() }).readonly(),
     ).readonly(),
-    /** Statements running and waiting, by endpoint. */
-    load: z.record(z.string(), z.number()).readonly(),
-    /** Connections open, by endpoint. */
-    connections: z.record(z.string(), z.number()).readonly(),
+    /** Statements running and waiting, and connections open, by endpoint; those with neither are left out. */
+    endpoints: z.record(z.string(), z.tuple([z.number(), z.number()]).readonly()).readonly(),
     /** Ids and addresses of hosts that the sender knows. */
     known: z.array(member).readonly(),
 }).readonly();
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -11,8 +11,6 @@
 export interface Options {
     readonly self: protocol.Member;
     readonly seeds: readonly string[];
-    /** True for a failure domain in this host's region. */
-    near(failureDomain: string): boolean;
     readonly network: network.Network;
     readonly clock: runtime.HostClock;
     readonly events: events.Events;
@@ -29,6 +27,8 @@
     /** What it said last. */
     readonly digest: protocol.Digest | undefined;
     readonly heardMs: number;
+    /** When it was last asked and answered. */
+    readonly askedMs: number;
     /** When its address last refused a connection: no host ran there. */
     readonly refusedMs: number;
 }
@@ -64,14 +64,13 @@
 }
 
 /** Time between two rounds, in milliseconds; each host also speaks to this one as often. */
-const intervalMs = 500;
-/** Hosts of the region asked in one round; a round among more picks some at random. */
-const fanOut = 5;
-/** Rounds between two exchanges with a host of another region, whose link is narrow. */
-const remoteRounds = 2;
+const intervalMs = 1_000;
+/** Hosts asked in one round; a round among more picks some at random. */
+const fanOut = 12;
+const spreadMs = 500;
 const timeoutMs = 400;
-/** Silence after which a host counts as not heard, in milliseconds: three exchanges. */
-const silentMs = 1_600;
+/** Silence after which a host counts as not heard, in milliseconds: four exchanges, two of them its own. */
+const silentMs = 2_000;
 /** Silence after which a host that is not registered is forgotten, in milliseconds. */
 const forgetMs = 15_000;
 /** Time for which failed exchanges go on before the connection is replaced, in milliseconds. */
@@ -81,6 +80,7 @@
     member: protocol.Member;
     digest: protocol.Digest | undefined;
     heardMs: number;
+    askedMs: number;
     refusedMs: number;
     registered: boolean;
     lost: boolean;
@@ -93,7 +93,6 @@
     const entries = new Map<string, Entry>();
     let stop: (() => void) | undefined;
     let pending = new Set<string>();
-    let rounds = 0;
 
     function note(member: protocol.Member): Entry {
         const known = entries.get(member.id);
@@ -105,6 +104,7 @@
             member,
             digest: undefined,
             heardMs: clock.now(),
+            askedMs: -Infinity,
             refusedMs: -Infinity,
             registered: false,
             lost: true,
@@ -125,6 +125,7 @@
         entry.member = digest.self;
         entry.digest = digest;
         entry.heardMs = clock.now();
+        entry.askedMs = Math.max(entry.askedMs, askedMs ?? -Infinity);
         entry.lost = false;
         for (const member of digest.known) {
             if (member.id !== self.id && !entries.has(member.id)) {
@@ -182,9 +183,7 @@
     }
 
     function pick(): readonly Entry[] {
-        const left = [...entries.values()].filter(entry =>
-            rounds % remoteRounds === 0 || options.near(entry.member.failureDomain)
-        );
+        const left = [...entries.values()];
         const chosen: Entry[] = [];
         while (left.length > 0 && chosen.length < fanOut) {
             chosen.push(...left.splice(Math.floor(options.random() * left.length), 1));
@@ -193,7 +192,6 @@
     }
 
     function round(): void {
-        rounds += 1;
         const nowMs = clock.now();
         for (const [id, entry] of entries) {
             if (!entry.registered && nowMs - entry.heardMs > forgetMs) {
@@ -201,7 +199,8 @@
                 entries.delete(id);
             }
         }
-        pick().forEach(entry => void exchange(entry));
+        // Spread over the interval, so that news comes steadily and hosts that started together do not call together.
+        pick().forEach(entry => clock.after(options.random() * spreadMs, () => void exchange(entry)));
         const strangers = options.seeds.filter(address =>
             address !== self.address && ![...entries.values()].some(entry => entry.member.address === address)
         );
@@ -255,8 +254,8 @@
             const unheard = [...entries.values()].filter(entry => silent(entry) && entry.registered).length;
             return { others, unheard };
         },
-        load: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.load[endpoint] ?? 0), 0),
-        connections: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.connections[endpoint] ?? 0), 0),
+        load: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.endpoints[endpoint]?.[0] ?? 0), 0),
+        connections: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.endpoints[endpoint]?.[1] ?? 0), 0),
         holders: () =>
             [
                 self.id,
