--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,8 +1,12 @@
 #!/usr/bin/env node
 /** The operator's command line `hyssophatch`. */
 import * as citty from "citty";
+import * as neverthrow from "neverthrow";
+import * as fs from "node:fs";
+import * as failure from "../core/failure.js";
 import * as operations from "./operations.js";
 import * as output from "./output.js";
+import * as tracing from "./trace.js";
 
 const platform = { type: "string", required: true, description: "Address of the platform, host:port" } as const;
 const host = { type: "string", required: true, description: "Address of a host for its peers, host:port" } as const;
@@ -92,6 +96,27 @@
     run: async ({ args }) => output.finish(await operations.drain(args.host), args.json, () => "The host drains."),
 });
 
+const trace = citty.defineCommand({
+    meta: {
+        name: "trace",
+        description: "Tell the story of one request from log files, or from standard input. "
+            + "Example: hyssophatch trace 5c0e7a21d94b36f8 host-1.log host-2.log",
+    },
+    args: { json, request: positional("Id of the request") },
+    async run({ args }) {
+        const files = args._.slice(1);
+        const missing = files.find(file => !fs.existsSync(file));
+        if (missing !== undefined) {
+            const message = `File ${missing} does not exist.`;
+            output.finish(neverthrow.err(failure.create(failure.Code.statementInvalid, missing, message)), args.json);
+            return;
+        }
+        const inputs = files.length === 0 ? [process.stdin] : files.map(file => fs.createReadStream(file));
+        const lines = (await Promise.all(inputs.map(tracing.collect))).flat();
+        output.finish(tracing.tell(lines, args.request), args.json, tracing.print);
+    },
+});
+
 const main = citty.defineCommand({
     meta: { name: "hyssophatch", description: "Operate a fleet of hyssophatchd hosts" },
     subCommands: {
@@ -106,6 +131,7 @@
         route: citty.defineCommand({ meta: { name: "route", description: "Routes" }, subCommands: { explain } }),
         status,
         drain,
+        trace,
     },
 });
 
--- a/src/core/succession.ts
+++ b/src/core/succession.ts
@@ -27,7 +27,7 @@
     | { readonly replace: true; readonly reason: "gone" | "draining" | "resigned" | "silent" | "partly unreachable" };
 
 /** Time without an answer to any host after which a primary is replaced, in milliseconds; several probes. */
-export const silenceMs = 650;
+export const silenceMs = 500;
 /** Time for which a part of the hosts must fail to reach a primary before it is replaced, in milliseconds. */
 export const partialMs = 1_200;
 /** Part of the hosts that makes a primary worth replacing though the rest reach it. */
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -177,15 +177,16 @@
                     freeMs: clock.now(),
                 });
             }
-            if (dialed.error !== "tooMany") {
+            if (typeof dialed.error !== "string" || dialed.error === "misrouted") {
                 const loss = typeof dialed.error === "string"
-                    ? { late: false, message: dialed.error }
+                    ? { late: false, message: "another endpoint is at its address" }
                     : dialed.error;
-                const why = loss.message;
                 options.lost(askedMs, loss);
-                const message = `Endpoint ${endpoint} can't be reached: ${why}.`;
+                const message = `Endpoint ${endpoint} can't be reached: ${loss.message}.`;
                 return neverthrow.err(failure.create(failure.Code.endpointUnreachable, endpoint, message, retryMs));
             }
+            // A refusal for want of room shows that the endpoint lives.
+            options.answered();
             crowdedUntilMs = clock.now() + crowdedMs;
             await clock.sleep(roomMs);
         }
--- a/src/proxy/probes.ts
+++ b/src/proxy/probes.ts
@@ -20,6 +20,7 @@
     ): Promise<connections.Status | "busy" | undefined>;
     /** Status of each endpoint that answers soon, by its id. */
     statuses(endpoints: readonly directory.Endpoint[]): Promise<ReadonlyMap<string, connections.Status>>;
+    /** Closes the connections; the next order opens them again. */
     close(): void;
 }
 
@@ -39,7 +40,7 @@
     const { clock } = options;
     const probes = new Map<string, Probe>();
 
-    async function probe(endpoint: directory.Endpoint): Promise<connections.Connection | undefined> {
+    async function probe(endpoint: directory.Endpoint): Promise<connections.Connection | "busy" | undefined> {
         const known = probes.get(endpoint.id);
         if (known !== undefined && known.address === endpoint.address && known.connection.open()) {
             return known.connection;
@@ -51,7 +52,8 @@
         const target = { endpoint: endpoint.id, group: endpoint.group, address: endpoint.address, organisation };
         const dialed = await options.dialer.dial(target, probeMs);
         if (dialed.isErr()) {
-            return undefined;
+            // An endpoint that has no room for the connection says so, and so lives.
+            return dialed.error === "tooMany" || dialed.error === "busy" ? "busy" : undefined;
         }
         const raced = probes.get(endpoint.id);
         if (raced !== undefined && raced.connection.open()) {
@@ -67,8 +69,8 @@
         request: connections.Order,
     ): Promise<connections.Status | "busy" | undefined> {
         const connection = await probe(endpoint);
-        if (connection === undefined) {
-            return undefined;
+        if (connection === undefined || connection === "busy") {
+            return connection;
         }
         const answered = await connection.order(request, probeMs);
         if (answered.isOk()) {
@@ -110,6 +112,9 @@
     return {
         order,
         statuses,
-        close: () => probes.forEach(entry => entry.connection.close()),
+        close() {
+            probes.forEach(entry => entry.connection.close());
+            probes.clear();
+        },
     };
 }
--- a/src/proxy/promoter.ts
+++ b/src/proxy/promoter.ts
@@ -242,6 +242,7 @@
             else if (held !== undefined && (holder === undefined || holder.token > held)) {
                 held = undefined;
                 duty.take(undefined);
+                options.probes.close();
                 events.emit("dutyLost", { holder: holder?.holder });
             }
         },
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -99,7 +99,7 @@
         };
     }
 
-    function admit(admitted: access.Admitted, nowMs: number): failure.Failure | undefined {
+    function admit(id: string, admitted: access.Admitted, nowMs: number): failure.Failure | undefined {
         if (admitted.organisation === access.anyone) {
             return undefined;
         }
@@ -109,9 +109,11 @@
         }
         const cause = allowances.exceeded(admitted.organisation, decision.retryAfterMs);
         options.events.emit("operationRefused", {
+            request: id,
             organisation: admitted.organisation,
             database,
             code: cause.code,
+            reason: cause.message,
             retryAfterMs: cause.retryAfterMs,
         });
         options.measures.refused(database, admitted.organisation, cause.code, 0);
@@ -168,7 +170,7 @@
         admitted: access.Admitted,
         nowMs: number,
     ): Promise<caller.Answer> {
-        const over = admit(admitted, nowMs);
+        const over = admit(statement.id, admitted, nowMs);
         if (over !== undefined) {
             return refuse(over);
         }
@@ -275,7 +277,7 @@
         if (block !== undefined) {
             return refuse(invalid("A transaction is open already."));
         }
-        const over = admit(admitted, nowMs);
+        const over = admit(id, admitted, nowMs);
         if (over !== undefined) {
             return refuse(over);
         }
