--- a/src/adapters/output.ts
+++ b/src/adapters/output.ts
@@ -1,11 +1,13 @@
 /** Log lines to standard output that never block: a reader that stops reading loses lines, not the daemon. */
 import bunyan from "bunyan";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import type * as runtime from "../ports/runtime.js";
 
 /** Most bytes kept for a slow reader. */
 const maxPendingBytes = 256 * 1024;
 const standardOutput = 1;
+const flushPollMs = 5;
 
 /** Writes lines in the background, one write at a time. */
 export interface Writer {
@@ -16,29 +18,38 @@
     flush(limitMs: number): Promise<void>;
 }
 
+/** Hands bytes to the output, and calls back once they are taken or given up. */
+type Sink = (batch: Buffer, done: () => void) => void;
+
+/** A pipe is written without blocking: a write that waits in a thread would hold up the end of the process. */
+function createSink(descriptor: number): Sink {
+    const kind = fs.fstatSync(descriptor);
+    if (kind.isFIFO() || kind.isSocket()) {
+        const socket = new net.Socket({ fd: descriptor, readable: false, writable: true });
+        // A closed output has no reader left to tell.
+        socket.on("error", () => undefined);
+        socket.unref();
+        return (batch, done) => void socket.write(batch, () => done());
+    }
+    const write: Sink = (batch, done) =>
+        fs.write(descriptor, batch, (error, count) => {
+            if (error === null && count < batch.length) {
+                write(batch.subarray(count), done);
+                return;
+            }
+            done();
+        });
+    return write;
+}
+
 /** Creates a writer to a file descriptor. */
 export function createWriter(descriptor: number = standardOutput): Writer {
+    const sink = createSink(descriptor);
     let pending: string[] = [];
     let bytes = 0;
     let lost = 0;
     let writing = false;
 
-    function send(rest: Buffer): void {
-        fs.write(descriptor, rest, (error, count) => {
-            if (error !== null && error.code === "EAGAIN") {
-                setTimeout(() => send(rest), 10);
-                return;
-            }
-            if (error === null && count < rest.length) {
-                send(rest.subarray(count));
-                return;
-            }
-            // A closed output has no reader left to tell.
-            writing = false;
-            next();
-        });
-    }
-
     function next(): void {
         if (writing || pending.length === 0) {
             return;
@@ -47,7 +58,10 @@
         const batch = Buffer.from(pending.join(""));
         pending = [];
         bytes = 0;
-        send(batch);
+        sink(batch, () => {
+            writing = false;
+            next();
+        });
     }
 
     return {
@@ -70,7 +84,7 @@
                         resolve();
                     }
                     else {
-                        setTimeout(look, 5);
+                        setTimeout(look, flushPollMs);
                     }
                 };
                 look();
