--- a/src/proxy/path.test.ts
+++ b/src/proxy/path.test.ts
@@ -26,12 +26,25 @@
         writer.close();
     });
 
-    it("lets a session read its own writes from a replica that lags", async () => {
-        world.endpoints.forEach(endpoint => endpoint.lag(80));
+    it("lets a session read its own writes, though replicas that lag serve its reads otherwise", async () => {
         const session = await login(1, "stock");
-        for (const value of ["a", "b", "c"]) {
+        const atReplicas = (text: string): number =>
+            world.endpoints.filter(endpoint => !endpoint.primary())
+                .flatMap(endpoint => endpoint.runs)
+                .filter(run => run.text.includes(text)).length;
+        await session.ask("WRITE tyre first");
+        for (let count = 0; count < 100 && atReplicas("READ tyre") === 0; count += 1) {
+            await session.ask("READ tyre");
+            await delay(20);
+        }
+        chai.expect(atReplicas("READ tyre")).to.be.above(0);
+        world.endpoints.forEach(endpoint => endpoint.lag(400));
+        for (const [index, value] of ["a", "b", "c", "d", "e"].entries()) {
             chai.expect((await session.ask(`WRITE tyre ${value}`))[0]).to.match(/^COMPLETE /);
+            // Long enough for the host to expect that replicas have it, who have not.
+            await delay(index * 60);
             chai.expect((await session.ask("READ tyre"))[0]).to.equal(`ROW ${value}`);
+            await delay(150);
         }
         session.close();
         world.endpoints.forEach(endpoint => endpoint.lag(20));
@@ -72,6 +85,7 @@
         caller.close();
         await delay(50);
         chai.expect(world.primary().log().map(entry => entry.item)).not.to.include("grabber");
+        chai.expect(world.primary().open()).to.equal(0);
     });
 
     it("sets each session's values and prepared names before its statements", async () => {
@@ -81,10 +95,9 @@
         await one.ask("PREPARE s1 READ q1");
         await two.ask("PREPARE s1 WRITE q2");
         for (let count = 0; count < 3; count += 1) {
-            await Promise.all([
-                one.ask("EXECUTE s1 bag", `p-one-${count}`),
-                two.ask("EXECUTE s1 bag full", `p-two-${count}`),
-            ]);
+            // One after the other, so that both come to the same connection.
+            await one.ask("EXECUTE s1 bag", `p-one-${count}`);
+            await two.ask("EXECUTE s1 bag full", `p-two-${count}`);
         }
         const runs = world.primary().runs;
         runs.filter(run => run.id.startsWith("p-one")).forEach(run =>
@@ -107,6 +120,12 @@
         caller.close();
     });
 
+    it("names the endpoint it expects on each connection, as addresses are used again", () => {
+        world.endpoints.forEach(endpoint =>
+            endpoint.runs.forEach(run => chai.expect(run.expected).to.equal(endpoint.id))
+        );
+    });
+
     it("refuses unknown keys and databases at login", async () => {
         chai.expect((await world.connect(0, "orders", "nonsense"))._unsafeUnwrapErr()).to.match(/^ERROR UNAUTH /);
         chai.expect((await world.connect(0, "nowhere"))._unsafeUnwrapErr()).to.match(/^ERROR NODB /);
--- a/standins/groups/endpoint.ts
+++ b/standins/groups/endpoint.ts
@@ -22,6 +22,8 @@
     /** Number of the connection's transaction; 0 outside. */
     readonly transaction: number;
     readonly connection: number;
+    /** Endpoint that the connection was opened for. */
+    readonly expected: string | undefined;
 }
 
 /** Settings of an endpoint. */
@@ -44,6 +46,8 @@
     primary(): boolean;
     term(): number;
     connections(): number;
+    /** Transactions open. */
+    open(): number;
     /** Replicas receive from this endpoint from now on. */
     lead(term: number, replicas: readonly Endpoint[]): void;
     follow(log: readonly Commit[], term: number): void;
@@ -60,6 +64,7 @@
 interface Session {
     readonly number: number;
     organisation: string;
+    readonly expected: string | undefined;
     values: Map<string, string>;
     prepared: Map<string, string>;
     transaction:
@@ -73,6 +78,7 @@
 /** Starts an endpoint, as a replica with an empty log. */
 export async function start(options: Options): Promise<Endpoint> {
     const sockets = new Set<net.Socket>();
+    const sessions = new Set<Session>();
     const runs: Run[] = [];
     let log: Commit[] = [];
     let applied = 0;
@@ -180,6 +186,7 @@
             values: Object.fromEntries(session.values),
             transaction: transaction?.number ?? 0,
             connection: session.number,
+            expected: session.expected,
         });
         if (mode === "READ") {
             return { rows: [value(item)], signed: true };
@@ -216,6 +223,9 @@
         socket.on("close", () => {
             sockets.delete(socket);
             connections -= 1;
+            if (session !== undefined) {
+                sessions.delete(session);
+            }
         });
 
         async function take(line: string): Promise<void> {
@@ -237,11 +247,13 @@
                 session = {
                     number: sockets.size,
                     organisation,
+                    expected,
                     values: new Map(),
                     prepared: new Map(),
                     transaction: undefined,
                     failed: false,
                 };
+                sessions.add(session);
                 socket.write(`READY I ${shown()}\r\n`);
                 return;
             }
@@ -292,6 +304,7 @@
         primary: () => leads,
         term: () => term,
         connections: () => connections,
+        open: () => [...sessions].filter(session => session.transaction !== undefined).length,
         lead(next, others) {
             term = next;
             leads = true;
