--- a/src/core/allowance.test.ts
+++ b/src/core/allowance.test.ts
@@ -20,7 +20,7 @@
     let refused = 0;
     hosts.forEach(host => host.allowance.limit(limits));
     for (let nowMs = 0; nowMs < lengthMs; nowMs += 5) {
-        if (nowMs % 500 === 0) {
+        if (nowMs % 250 === 0) {
             const told = hosts.map((host, id) => ({
                 id: String(id),
                 account: host.allowance.account(nowMs),
@@ -97,6 +97,44 @@
         chai.expect(busiest([...before, ...after])).to.be.at.most(bound);
     });
 
+    it("grants what is left to callers that come back while hosts that start together hear of each other", () => {
+        const hosts = [0, 1, 2, 3, 4, 5].map(() => allowances.createAllowance());
+        hosts.forEach(host => host.limit(limits));
+        // Each pair hears of each other at its own moment within the first 800 ms, and then each 500 ms.
+        const firstMs = (one: number, other: number): number => 100 + ((one * 7 + other * 3) % 11) * 60;
+        const told = hosts.map(() =>
+            new Map<number, { readonly atMs: number; readonly account: allowances.Account }>()
+        );
+        let admitted = 0;
+        for (let nowMs = 5; nowMs <= 2_000; nowMs += 5) {
+            told.forEach((known, one) =>
+                hosts.forEach((host, other) => {
+                    const sinceMs = nowMs - firstMs(one, other);
+                    if (one !== other && sinceMs >= 0 && sinceMs % 500 < 5) {
+                        known.set(other, { atMs: nowMs, account: host.account(nowMs) });
+                    }
+                })
+            );
+            hosts.forEach((host, self) => {
+                const known = [...told[self] ?? []];
+                if (nowMs % 250 === 0) {
+                    const others = known.map(([id, entry]) => ({
+                        id: String(id),
+                        account: entry.account,
+                        ageMs: nowMs - entry.atMs,
+                    }));
+                    host.share({ others, unheard: hosts.length - 1 - others.length }, nowMs);
+                }
+                // Together 150 a second, in turn.
+                if ((nowMs / 5 + self) % 8 === 0) {
+                    admitted += host.admit("cluj", nowMs).admitted ? 1 : 0;
+                }
+            });
+        }
+        const due = 90 * 2 + 90;
+        chai.expect(admitted).to.be.at.least(due * 0.88).and.at.most(due * 1.1 + 20);
+    });
+
     it("takes no more than a small part before it knows of the other hosts", () => {
         const allowance = allowances.createAllowance();
         allowance.limit(limits);
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -53,7 +53,7 @@
 }
 
 interface Book {
-    /** Operations left over all hosts, as far as known. */
+    /** Operations left over the hosts that are heard, as far as known. */
     left: number;
     /** Operations that this host may still admit. */
     credit: number;
@@ -111,7 +111,7 @@
         if (known !== undefined) {
             return known;
         }
-        const left = Math.min(limit.burst, limit.ratePerSecond * startMs / 1_000);
+        const left = Math.min(limit.burst, limit.ratePerSecond * startMs / 1_000) * reach;
         const part = 1 / (hosts ?? assumedHosts);
         const created: Book = {
             left,
@@ -150,17 +150,14 @@
             if (told === undefined) {
                 continue;
             }
-            // A host that was heard before without this organisation had admitted nothing of it.
-            const before = book.seen.get(other.id) ?? (heard.has(other.id) ? 0 : undefined);
-            if (before !== undefined) {
-                book.left -= told.admitted - before;
+            if (heard.has(other.id)) {
+                // A host that was heard before without this organisation had admitted nothing of it.
+                book.left -= told.admitted - (book.seen.get(other.id) ?? 0);
             }
             else if (young) {
-                book.left = Math.min(book.left, told.left);
-            }
-            else {
-                book.left -= told.admitted;
+                book.left = Math.min(book.left, told.left * reach);
             }
+            // What a host admitted while it was not heard came off the rate that was left to it.
             book.seen.set(other.id, told.admitted);
         }
         book.left = Math.max(book.left, -limit.ratePerSecond * debtMs / 1_000);
@@ -192,7 +189,11 @@
             }
             startedMs ??= nowMs;
             hosts = 1 + others.length + unheard;
+            const before = reach;
             reach = 1 - unheard / hosts;
+            books.forEach(book => {
+                book.left *= reach / before;
+            });
             for (const other of others) {
                 for (const organisation of Object.keys(other.account)) {
                     const limit = limits.get(organisation);
@@ -238,7 +239,7 @@
         account(nowMs) {
             const told = [...books].flatMap(([organisation, book]): readonly (readonly [string, Usage])[] => {
                 const demand = Math.round(decay(book, nowMs) * 10) / 10;
-                const left = Math.floor(book.left);
+                const left = Math.floor(book.left / reach);
                 book.told = demand;
                 return demand < leastDemand && book.admitted === 0 ? [] : [[organisation, {
                     demand,
