Fence this host as the others; one reader of stored documents; a COMMIT that was never sent is rolled back

Found on reading the change: the host that replaces a primary told all others to end what they acknowledge, and itself went by its grace of 150 ms, which a platform that promotes faster would overtake. Change: it hands over like the others. A COMMIT on a connection that was closed before counted as unknown; nothing was sent, so the transaction is rolled back (path.test.ts). Three copies of reading a JSON document became one; the order of hosts for shares is no global state.

--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -14,37 +14,42 @@
 /** Connections to one endpoint that each host keeps where there are enough: one transaction and one statement. */
 const fewest = 3;
 const maxCached = 4_096;
-const orders = new Map<string, readonly string[]>();
+
+/** Works out shares, and remembers the order of the hosts for each endpoint. */
+export interface Division {
+    /** The share of one host, with the connections that all hosts together have open at the moment. */
+    share(most: number, endpoint: string, hosts: readonly string[], self: string, open: number): Share;
+}
 
 /**
- * The share of one host. What does not divide evenly goes to the hosts that come first for this endpoint, so that
- * no host is favoured at all endpoints.
+ * Creates a division. What does not divide evenly goes to the hosts that come first for the endpoint, so that no host
+ * is favoured at all endpoints.
  */
-export function divide(
-    most: number,
-    endpoint: string,
-    hosts: readonly string[],
-    self: string,
-    open: number,
-): Share {
-    const count = Math.max(1, hosts.length);
-    // After a loss of power the endpoint still counts the old connections while the hosts open new ones.
-    const kept = Math.max(Math.min(most, count * fewest), Math.floor(most / 2));
-    const even = Math.floor(kept / count);
-    const left = kept - even * count;
-    const more = left > 0 && rank(endpoint, hosts, self) < left ? 1 : 0;
-    return { kept: even + more, spare: Math.max(0, most - margin - open) };
-}
+export function createDivision(): Division {
+    const orders = new Map<string, readonly string[]>();
 
-function rank(endpoint: string, hosts: readonly string[], self: string): number {
-    const key = `${endpoint} ${hosts.join(" ")}`;
-    const known = orders.get(key);
-    const order = known ?? rendezvous.order(endpoint, hosts);
-    if (known === undefined) {
-        if (orders.size >= maxCached) {
-            orders.clear();
+    function rank(endpoint: string, hosts: readonly string[], self: string): number {
+        const key = `${endpoint} ${hosts.join(" ")}`;
+        const known = orders.get(key);
+        const order = known ?? rendezvous.order(endpoint, hosts);
+        if (known === undefined) {
+            if (orders.size >= maxCached) {
+                orders.clear();
+            }
+            orders.set(key, order);
         }
-        orders.set(key, order);
+        return order.indexOf(self);
     }
-    return order.indexOf(self);
+
+    return {
+        share(most, endpoint, hosts, self, open) {
+            const count = Math.max(1, hosts.length);
+            // After a loss of power the endpoint still counts the old connections while the hosts open new ones.
+            const kept = Math.max(Math.min(most, count * fewest), Math.floor(most / 2));
+            const even = Math.floor(kept / count);
+            const left = kept - even * count;
+            const more = left > 0 && rank(endpoint, hosts, self) < left ? 1 : 0;
+            return { kept: even + more, spare: Math.max(0, most - margin - open) };
+        },
+    };
 }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -1,6 +1,7 @@
 /** What the platform keeps in its store, decoded into our own types. */
-import * as neverthrow from "neverthrow";
+import type * as neverthrow from "neverthrow";
 import * as z from "zod";
+import * as decode from "../core/decode.js";
 import type * as directory from "../core/directory.js";
 import type * as policies from "../core/policy.js";
 
@@ -55,19 +56,9 @@
     };
 }
 
-function parse<T>(schema: z.ZodType<T>, text: string): neverthrow.Result<T, string> {
-    try {
-        const checked = schema.safeParse(JSON.parse(text));
-        return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(checked.error.message);
-    }
-    catch (thrown) {
-        return neverthrow.err(String(thrown));
-    }
-}
-
 /** Reads the operators' configuration. */
 export function readPolicy(text: string): neverthrow.Result<policies.Policy, string> {
-    return parse(wireConfiguration, text).map(value => ({
+    return decode.json(wireConfiguration, text).map(value => ({
         version: value.version,
         routes: new Map(value.routes.map(route => [route.hostname, readRoute(route)])),
         groups: new Map(value.services.map(group => [
@@ -95,7 +86,7 @@
 
 /** Reads one endpoint's entry; the key tells its id. */
 export function readEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string> {
-    return parse(wireEndpoint, text).map(value => ({
+    return decode.json(wireEndpoint, text).map(value => ({
         id: key.slice(endpointsPrefix.length),
         group: value.service,
         address: value.address,
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -2,6 +2,7 @@
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
 import * as z from "zod";
+import * as decode from "../core/decode.js";
 import type * as store from "../ports/store.js";
 import * as calls from "./http.js";
 
@@ -63,7 +64,7 @@
         }
         const { status, body } = sent.value;
         if (status === statusOk) {
-            return decode(schema, body);
+            return read(schema, body);
         }
         if (status === statusConflict) {
             return neverthrow.err({ kind: "conflict" });
@@ -144,21 +145,11 @@
     };
 }
 
-function decode<T>(schema: z.ZodType<T>, body: string): neverthrow.Result<T, store.Trouble> {
-    let parsed: unknown;
-    try {
-        parsed = body === "" ? {} : JSON.parse(body);
-    }
-    catch (thrown) {
-        return neverthrow.err({ kind: "unanswered", message: `The store's answer can't be read: ${String(thrown)}.` });
-    }
-    const checked = schema.safeParse(parsed);
-    return checked.success
-        ? neverthrow.ok(checked.data)
-        : neverthrow.err({
-            kind: "unanswered",
-            message: `The store's answer can't be read: ${checked.error.message}.`,
-        });
+function read<T>(schema: z.ZodType<T>, body: string): neverthrow.Result<T, store.Trouble> {
+    return decode.json(schema, body === "" ? "{}" : body).mapErr(reason => ({
+        kind: "unanswered",
+        message: `The store's answer can't be read: ${reason}.`,
+    }));
 }
 
 /** Creates the client of the calls that name a primary. */
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -206,6 +206,7 @@
             proofMs,
             token: () => container.get<promoters.DutyHolder>(id.duty).token(),
             learn: record => knowledge().learn(record),
+            handOver: record => knowledge().handOver(record),
         })
     ).inSingletonScope();
     container.bind(id.promoter).toDynamicValue(() =>
@@ -289,12 +290,7 @@
         return [
             grpc.handle(messages.peer.exchange, async told => neverthrow.ok(peers().answer(told))),
             grpc.handle(messages.peer.record, async record => {
-                knowledge().learn(record);
-                if (record.changing) {
-                    const entry = knowledge().group(record.group);
-                    await entry.untilQuiet(record.primary, handoverMs);
-                    tenures().confirm(record.group);
-                }
+                await knowledge().handOver(record);
                 return neverthrow.ok({});
             }),
             grpc.handle(messages.peer.catalogue, async () => {
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -46,6 +46,8 @@
     /** Takes in that the policy or the endpoints changed. */
     changed(): void;
     learn(record: tenure.Record): void;
+    /** Takes in a record and, if it replaces a primary, resolves once nothing done there is acknowledged any more. */
+    handOver(record: tenure.Record): Promise<void>;
     /** Takes in this product's own keys as they were at the moment. */
     read(contents: registry.Contents, askedMs: number): void;
     /** What this host tells others. */
@@ -84,6 +86,7 @@
     const { clock, events, tenures, directory, allowance, peers, follower, promoter } = options;
     const suspension = suspensions.createSuspension();
     const groups = new Map<string, groupsPart.Group>();
+    const division = shares.createDivision();
     let steppedMs = -Infinity;
     let wasProven = false;
     let catchingUp = false;
@@ -129,7 +132,7 @@
     function share(name: string, endpoint: string): shares.Share {
         const most = (follower().policy().groups.get(name)?.maxConnections ?? 1) - reservedConnections;
         const open = peers().connections(endpoint) + (groups.get(name)?.pool(endpoint)?.size() ?? 0);
-        return shares.divide(most, endpoint, peers().holders(), options.self().id, open);
+        return division.share(most, endpoint, peers().holders(), options.self().id, open);
     }
 
     function changed(): void {
@@ -157,6 +160,14 @@
         }
     }
 
+    async function handOver(record: tenure.Record): Promise<void> {
+        learn(record);
+        if (record.changing) {
+            await group(record.group).untilQuiet(record.primary, options.handoverMs);
+            tenures.confirm(record.group);
+        }
+    }
+
     function read(contents: registry.Contents, askedMs: number): void {
         look();
         contents.records.forEach(stored => learn(stored.record));
@@ -275,6 +286,7 @@
         group,
         changed,
         learn,
+        handOver,
         read,
         digest,
         heard,
--- a/src/proxy/path.test.ts
+++ b/src/proxy/path.test.ts
@@ -226,6 +226,18 @@
         block.close();
     });
 
+    it("says that a transaction is rolled back when its COMMIT was never sent", async () => {
+        const caller = (await world.connect(0, "orders"))._unsafeUnwrap();
+        await caller.ask("BEGIN");
+        await caller.ask("WRITE vest open");
+        await world.primary().crash();
+        await delay(50);
+        const lines = await caller.ask("COMMIT");
+        chai.expect(lines[0]).to.match(/^ERROR ABORTED /);
+        chai.expect(lines[1]).to.match(/^READY I /);
+        caller.close();
+    });
+
     it("moves the primary off an endpoint that leaves, and loses no commit", async () => {
         const caller = (await world.connect(0, "orders"))._unsafeUnwrap();
         const acknowledged: string[] = [];
--- a/src/proxy/registry.ts
+++ b/src/proxy/registry.ts
@@ -1,6 +1,6 @@
 /** This product's own keys in the store: hosts, records of primaries, and the duty to replace them. */
-import * as neverthrow from "neverthrow";
 import * as z from "zod";
+import * as decode from "../core/decode.js";
 import * as tenure from "../core/tenure.js";
 import type * as store from "../ports/store.js";
 import * as messages from "./messages.js";
@@ -47,19 +47,9 @@
     readonly corrupt: readonly string[];
 }
 
-function parse<T>(schema: z.ZodType<T>, text: string): neverthrow.Result<T, string> {
-    try {
-        const checked = schema.safeParse(JSON.parse(text));
-        return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(checked.error.message);
-    }
-    catch (thrown) {
-        return neverthrow.err(String(thrown));
-    }
-}
-
 /** Reads the holder of the duty. */
 export function readDuty(item: store.Item): Duty | undefined {
-    const parsed = parse(duty, item.value);
+    const parsed = decode.json(duty, item.value);
     return parsed.isOk() ? { ...parsed.value, token: item.revision } : undefined;
 }
 
@@ -71,11 +61,11 @@
     let holder: Duty | undefined;
     for (const item of items) {
         if (item.key.startsWith(hostsPrefix)) {
-            const parsed = parse(messages.member, item.value);
+            const parsed = decode.json(messages.member, item.value);
             parsed.match(value => void hosts.push(value), () => void corrupt.push(item.key));
         }
         else if (item.key.startsWith(primariesPrefix)) {
-            const parsed = parse(tenure.schema, item.value);
+            const parsed = decode.json(tenure.schema, item.value);
             parsed.match(
                 record => void records.push({ record, revision: item.revision }),
                 () => void corrupt.push(item.key),
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -33,6 +33,8 @@
     endpoints(group: string): readonly directory.Endpoint[];
     /** Takes in a record that this host has written. */
     learn(record: tenure.Record): void;
+    /** Resolves once this host acknowledges nothing done at the primary that the record replaces. */
+    handOver(record: tenure.Record): Promise<void>;
 }
 
 /** Replaces primaries. */
@@ -112,7 +114,7 @@
     async function fence(record: tenure.Record): Promise<boolean> {
         const writtenMs = clock.now();
         const contents = await options.follower.refresh();
-        const everyone = await tell(record);
+        const [everyone] = await Promise.all([tell(record), options.handOver(record)]);
         if (contents === undefined || !everyone || options.follower.steadyMs() < steadyMs) {
             await clock.sleep(Math.max(0, writtenMs + options.proofMs - clock.now()));
         }
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -208,14 +208,9 @@
                 if (answered.isErr()) {
                     lease.discard();
                     group.lost(endpoint, askedMs, answered.error);
-                    return neverthrow.err(
-                        statements.refuse(
-                            statements.unknown(endpoint, answered.error.message),
-                            shown,
-                            context,
-                            options,
-                        ),
-                    );
+                    const { sent, message } = answered.error;
+                    const cause = sent ? statements.unknown(endpoint, message) : statements.aborted(endpoint, message);
+                    return neverthrow.err(statements.refuse(cause, shown, context, options));
                 }
                 const reply = answered.value;
                 const ran = reply.outcome.kind === "done";
