--- a/src/core/allowance.test.ts
+++ b/src/core/allowance.test.ts
@@ -65,13 +65,13 @@
         chai.expect(refused).to.be.at.most((refused + admitted.length) * 0.01);
     });
 
-    it("keeps a tenant that asks seven times its rate to the bound in every window", () => {
+    it("keeps an organisation that asks seven times its rate to the bound in every window", () => {
         const { admitted } = play([0, 1, 2, 3, 4, 5].map(() => () => 105), 20_000);
         chai.expect(busiest(admitted)).to.be.at.most(bound);
         chai.expect(admitted.length).to.be.at.least(90 * 20 * 0.9);
     });
 
-    it("keeps a tenant that suddenly asks seven and a half times its usual to the bound", () => {
+    it("keeps an organisation that suddenly asks seven and a half times its usual to the bound", () => {
         const rates = [0, 1, 2, 3, 4, 5].map(() => (nowMs: number) => (nowMs > 10_000 ? 70 : 9.4));
         const { admitted } = play(rates, 20_000);
         chai.expect(busiest(admitted)).to.be.at.most(bound);
