Tell other hosts only what they lack, and take turns at reading the store

Cause: the exchange between hosts was over half of the bytes between failure domains and regions (1,780 bytes an exchange, 8 pairs of names and the records each time), and each of nine hosts read the list of endpoints and the keys for itself (70 readings a host in 48 s), as all of them reached the same age at the same time. Ruled out: fewer exchanges (limits and samples rest on their age); a listing read less often (draining is due in 7 s); asking primaries only when no caller's statement has (an answer within 100 ms is there for a third of them only). Change: digests refer by number to an outline with what rarely changes, which goes only to a host that has not said that it has it. Hosts follow the store in turn: the first at once, the next ones when they hear nothing of it; a host reads the keys more often while one that exists is not heard.

--- /dev/null
+++ b/src/proxy/digests.ts
@@ -0,0 +1,152 @@
+/**
+ * Digests as they travel: numbers that refer to an outline, and the outline only to a host that lacks it. An outline
+ * holds what rarely changes; each process numbers its own, and says which of the other side's it has.
+ */
+import type * as positions from "../core/position.js";
+import type * as messages from "./messages.js";
+
+/** Turns this host's digests into what one other host still lacks of them. */
+export interface Packer {
+    /**
+     * Packs a digest for a host that has said which outline it has, and tells it which one of its own this host has;
+     * undefined stands for none.
+     */
+    pack(digest: messages.Digest, theyHave: number | undefined, weHave: number | undefined): messages.Telling;
+}
+
+/** Demand is told in tenths of an operation a second, a whole number. */
+const demandScale = 10;
+/** Stands for an age that there is none of. */
+const none = -1;
+/** Bound of the random part of outline numbers, so that two processes hardly ever share one. */
+const numberRange = 2 ** 31;
+/** Names kept in an outline's table beyond those in use before the table is made anew. */
+const spareNames = 64;
+
+/** Names that numbers refer to; a name keeps its number until the table is made anew. */
+function createNames(): { number(name: string): number; trim(used: number): void; all(): readonly string[] } {
+    let numbers = new Map<string, number>();
+    return {
+        number(name) {
+            const known = numbers.get(name);
+            if (known !== undefined) {
+                return known;
+            }
+            numbers.set(name, numbers.size);
+            return numbers.size - 1;
+        },
+        trim(used) {
+            if (numbers.size > used + spareNames) {
+                numbers = new Map();
+            }
+        },
+        all: () => [...numbers.keys()],
+    };
+}
+
+const age = (ms: number | undefined): number => (ms === undefined ? none : Math.ceil(ms));
+const ageOf = (ms: number | undefined): number | undefined => (ms === undefined || ms < 0 ? undefined : ms);
+
+/** Rows of a flat list of numbers. */
+function rows(flat: readonly number[], width: number): readonly (readonly number[])[] {
+    return Array.from(
+        { length: Math.floor(flat.length / width) },
+        (_, row) => flat.slice(row * width, row * width + width),
+    );
+}
+
+/** Creates a packer; its numbers start at a random one. */
+export function createPacker(random: () => number): Packer {
+    const sender = Math.floor(random() * numberRange);
+    const organisations = createNames();
+    const endpoints = createNames();
+    const groups = createNames();
+    let number = sender;
+    let text = "";
+
+    return {
+        pack(digest, theyHave, weHave) {
+            organisations.trim(Object.keys(digest.account).length);
+            endpoints.trim(Object.keys(digest.endpoints).length);
+            groups.trim(digest.tenures.length);
+            const samples = digest.samples.flatMap((
+                { group, position, ageMs },
+            ) => [groups.number(group), position.term, position.index, age(ageMs)]);
+            const contacts = digest.contacts.flatMap((
+                { group, epoch, answeredMs, failingMs },
+            ) => [groups.number(group), epoch, age(answeredMs), age(failingMs)]);
+            const account = Object.entries(digest.account).flatMap((
+                [name, { demand, admitted, left }],
+            ) => [organisations.number(name), Math.round(demand * demandScale), admitted, left]);
+            const use = Object.entries(digest.endpoints).flatMap((
+                [id, [load, open]],
+            ) => [endpoints.number(id), load, open]);
+            const outline: messages.Outline = {
+                self: digest.self,
+                version: digest.version,
+                tenures: digest.tenures,
+                known: digest.known,
+                organisations: organisations.all(),
+                endpoints: endpoints.all(),
+                groups: groups.all(),
+            };
+            const next = JSON.stringify(outline);
+            if (next !== text) {
+                text = next;
+                number += 1;
+            }
+            return [
+                sender,
+                number,
+                theyHave === number ? null : outline,
+                weHave ?? null,
+                age(digest.proofAgeMs),
+                age(digest.storeAgeMs),
+                digest.listing === undefined ? null : [digest.listing.hash, age(digest.listing.ageMs)],
+                samples,
+                contacts,
+                account,
+                use,
+            ];
+        },
+    };
+}
+
+/** Reads a digest by the outline that its numbers refer to; numbers without a name are left out. */
+export function unpack(told: messages.Telling, outline: messages.Outline): messages.Digest {
+    const [, , , , proofAgeMs, storeAgeMs, listing, samples, contacts, account, use] = told;
+    const group = (number: number | undefined): string => outline.groups[number ?? none] ?? "";
+    const position = (term: number, index: number): positions.Position => ({ term, index });
+    return {
+        self: outline.self,
+        version: outline.version,
+        tenures: outline.tenures,
+        known: outline.known,
+        proofAgeMs: ageOf(proofAgeMs),
+        storeAgeMs: ageOf(storeAgeMs),
+        listing: listing === null ? undefined : { hash: listing[0], ageMs: listing[1] },
+        samples: rows(samples, 4).map(([of, term = 0, index = 0, ageMs = 0]) => ({
+            group: group(of),
+            position: position(term, index),
+            ageMs,
+        })).filter(sample => sample.group !== "" && sample.ageMs >= 0),
+        contacts: rows(contacts, 4).map(([of, epoch = 0, answeredMs, failingMs]) => ({
+            group: group(of),
+            epoch,
+            answeredMs: ageOf(answeredMs),
+            failingMs: ageOf(failingMs),
+        })).filter(contact => contact.group !== ""),
+        account: Object.fromEntries(
+            rows(account, 4).flatMap(([of, demand = 0, admitted = 0, left = 0]) => {
+                const name = outline.organisations[of ?? none];
+                return name === undefined ? [] : [[name, { demand: demand / demandScale, admitted, left }] as const];
+            }),
+        ),
+        endpoints: Object.fromEntries(
+            rows(use, 3).flatMap(([of, load = 0, open = 0]) => {
+                const name = outline.endpoints[of ?? none];
+                return name === undefined ? [] : [[name, [load, open] as const] as const];
+            }),
+        ),
+    };
+}
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -17,13 +17,6 @@
     readEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string>;
 }
 
-/** A listing of endpoints that a host has. */
-export interface Listing {
-    /** Digest of what is listed. */
-    readonly hash: string;
-    readonly ageMs: number;
-}
-
 /** Settings of a follower. */
 export interface Options {
     readonly self: () => messages.Member;
@@ -37,9 +30,11 @@
     /** Age of this host's proof, in milliseconds, whoever it came from. */
     proofAgeMs(): number;
     /** The youngest listing of endpoints that another host has. */
-    listing(): Listing | undefined;
-    /** True when this host is one of those that watch the store for all. */
-    watching(): boolean;
+    listing(): messages.Listing | undefined;
+    /** Place of this host among those that follow the store for all; the number of them for every other host. */
+    turn(): number;
+    /** True while a host that exists is not heard. */
+    missing(): boolean;
     /** True while this host has a duty that lives in the store. */
     dutiful(): boolean;
     /** Takes in this product's own keys as they were at the moment. */
@@ -60,7 +55,7 @@
     /** When the newest listing of endpoints was asked for; undefined without any. */
     listedMs(): number | undefined;
     /** The listing of endpoints that this host has. */
-    listing(): Listing | undefined;
+    listing(): messages.Listing | undefined;
     /** Time since the store last answered this host, in milliseconds; Infinity when it never did. */
     storeAgeMs(): number;
     /** Lease of this host's registration, while it certainly holds. */
@@ -79,14 +74,26 @@
 
 /** Time between two looks at whether something is to be read from the store, in milliseconds. */
 const lookMs = 250;
-/** Age of the proof from which the keys are read; other hosts' readings spare one's own, in milliseconds. */
+/**
+ * Age of the proof from which the first host in turn reads the keys, in milliseconds; the others hear of its reading.
+ * Half of the age up to which a proof counts.
+ */
 const staleProofMs = 750;
 /** The same for the host that replaces primaries, which reads what it acts on, in milliseconds. */
 const dutyProofMs = 500;
+/** Time by which each next host in turn leaves the reading to those before it, in milliseconds: news of it takes that. */
+const proofTurnMs = 120;
 /** Longest time between two readings of the keys, in milliseconds: they also tell which hosts exist. */
-const longestReadMs = 5_000;
-/** Age of the listing of endpoints from which it is read again, in milliseconds; draining may take seconds to be seen. */
-const staleListingMs = 1_500;
+const longestReadMs = 10_000;
+/** The same while a host that exists is not heard, in milliseconds: its end frees its part of limits and connections. */
+const missingReadMs = 1_500;
+/**
+ * Age of the listing of endpoints from which the first host in turn reads it again, in milliseconds; draining may take
+ * seconds to be seen.
+ */
+const staleListingMs = 1_250;
+/** Time by which each next host in turn leaves the listing to those before it, in milliseconds: news of it takes that. */
+const listingTurnMs = 350;
 /** Longest wait of one watch, in milliseconds: a configuration is due in 3 s, also when a watch hears nothing. */
 const watchMs = 2_000;
 /** Watches without news before the configuration is read all the same. */
@@ -94,6 +101,8 @@
 /** Time between two readings of the configuration by a host that does not watch it, in milliseconds. */
 const unwatchedMs = 10_000;
 const retryMs = 250;
+/** Hosts that follow the store for all: one, and two that step in when they hear nothing of it. */
+export const watchers = 3;
 /** Life of a host's registration without renewal, in milliseconds: bounds how long a dead host keeps its duty. */
 const leaseTtlMs = 2_500;
 const renewMs = 700;
@@ -128,6 +137,8 @@
     let left = false;
     const rejected = new Set<string>();
 
+    const watching = (): boolean => options.turn() < watchers;
+
     function note(trouble: store.Trouble | undefined): void {
         if (trouble !== undefined && (trouble.kind === "refused" || trouble.kind === "unanswered")) {
             failedMs = clock.now();
@@ -182,8 +193,9 @@
     }
 
     async function follow(): Promise<void> {
-        const limitMs = options.dutiful() ? dutyProofMs : staleProofMs;
-        if (options.proofAgeMs() > limitMs || clock.now() - readMs > longestReadMs) {
+        const limitMs = options.dutiful() ? dutyProofMs : staleProofMs + options.turn() * proofTurnMs;
+        const longestMs = options.missing() ? missingReadMs : longestReadMs;
+        if (options.proofAgeMs() > limitMs || clock.now() - readMs > longestMs) {
             await refresh();
         }
     }
@@ -191,11 +203,12 @@
     /** Takes another host's word that the listing is still as known, and reads it only when there is none. */
     async function followEndpoints(): Promise<void> {
         const told = options.listing();
-        if (told !== undefined && told.hash === listedHash && told.ageMs < staleListingMs) {
+        const limitMs = staleListingMs + options.turn() * listingTurnMs;
+        if (told !== undefined && told.hash === listedHash && told.ageMs < limitMs) {
             take(listed, clock.now() - told.ageMs);
         }
         const ageMs = clock.now() - (listedMs ?? -Infinity);
-        if (ageMs >= staleListingMs || (told !== undefined && told.hash !== listedHash && told.ageMs < ageMs)) {
+        if (ageMs >= limitMs || (told !== undefined && told.hash !== listedHash && told.ageMs < ageMs)) {
             await listEndpoints();
         }
     }
@@ -253,11 +266,11 @@
     }
 
     async function followConfiguration(): Promise<void> {
-        if (!options.watching() && policy.version > 0 && clock.now() - configuredMs < unwatchedMs) {
+        if (!watching() && policy.version > 0 && clock.now() - configuredMs < unwatchedMs) {
             return;
         }
         let after = await readConfiguration();
-        for (let quiet = 0; !closed && after !== undefined && options.watching(); quiet += 1) {
+        for (let quiet = 0; !closed && after !== undefined && watching(); quiet += 1) {
             // A watch may hear nothing though the store is well, so it tells nothing of the store.
             const waited = await remote.watch(options.documents.configurationKey, after, watchMs);
             if (waited.isErr()) {
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -7,7 +7,7 @@
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as eventsPart from "./events.js";
-import type * as followers from "./follower.js";
+import * as followers from "./follower.js";
 import * as groupsPart from "./group.js";
 import * as messages from "./messages.js";
 import type * as peersPart from "./peers.js";
@@ -27,8 +27,6 @@
     readonly directory: directories.Directory;
     readonly allowance: allowances.Allowance;
     readonly dialer: connections.Dialer;
-    /** A number in [0, 1). */
-    random(): number;
     self(): messages.Member;
     peers(): peersPart.Peers;
     follower(): followers.Follower;
@@ -59,18 +57,14 @@
     /** Asks another host for what the store has not given for a while. */
     refresh(): void;
     /** The youngest listing of endpoints that another host has. */
-    listing(): followers.Listing | undefined;
-    /** True when this host is one of those that watch the store for all. */
-    watching(): boolean;
+    listing(): messages.Listing | undefined;
+    /** Place of this host among those that follow the store for all; the number of them for every other host. */
+    turn(): number;
 }
 
 /** Age of the endpoints' listing from which another host is asked for a newer one, in milliseconds. */
 const staleListingMs = 2_500;
-/** Share of digests that name other hosts: the store names them too. */
-const knownShare = 0.2;
 const catalogueTimeoutMs = 1_000;
-/** Hosts that watch the configuration; the others hear of changes from them. */
-const watchers = 3;
 /** Time since the store answered a host within which the host counts on to watch it, in milliseconds. */
 const ableMs = 2_500;
 /** Connections of each endpoint kept free for the probe of the host that replaces primaries. */
@@ -237,7 +231,7 @@
             }),
             account: allowance.account(nowMs),
             endpoints: use(),
-            known: options.random() < knownShare ? peers().heard().map(peer => peer.member) : [],
+            known: peers().all().map(peer => peer.member),
         };
     }
 
@@ -299,16 +293,16 @@
                     ? []
                     : [{ hash: listing.hash, ageMs: listing.ageMs + clock.now() - peer.heardMs }];
             });
-            return told.reduce<followers.Listing | undefined>(
+            return told.reduce<messages.Listing | undefined>(
                 (best, next) => (best === undefined || next.ageMs < best.ageMs ? next : best),
                 undefined,
             );
         },
-        watching() {
+        turn() {
             const able = peers().heard()
                 .filter(peer => (peer.digest?.storeAgeMs ?? Infinity) < ableMs && !peer.member.leaving)
                 .map(peer => peer.member.id);
-            return able.filter(id => id < options.self().id).length < watchers;
+            return Math.min(able.filter(id => id < options.self().id).length, followers.watchers);
         },
         refresh() {
             const listedMs = follower().listedMs();
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -1,6 +1,8 @@
 /** Messages between hosts: each a schema and the type derived from it. */
 import * as z from "zod";
-import * as positions from "../core/position.js";
+import type * as allowances from "../core/allowance.js";
+import type * as positions from "../core/position.js";
+import type * as succession from "../core/succession.js";
 import * as tenure from "../core/tenure.js";
 import type * as messages from "../ports/messages.js";
 
@@ -17,53 +19,80 @@
 /** A host as it describes itself. */
 export type Member = z.infer<typeof member>;
 
-const sample = z.object({
-    group: z.string(),
-    position: positions.schema,
-    /** Time since the primary was asked, in milliseconds. */
-    ageMs: z.number().min(0),
-}).readonly();
-
-const contact = z.object({
-    group: z.string(),
-    /** Epoch of the record that names the primary. */
-    epoch: z.number(),
-    answeredMs: z.number().optional(),
-    failingMs: z.number().optional(),
-}).readonly();
+/** What a host tells another about itself and what it knows; ages in milliseconds. */
+export interface Digest {
+    readonly self: Member;
+    /** Version of the configuration in force. */
+    readonly version: number;
+    readonly tenures: readonly tenure.Record[];
+    /** Age of the proof that the records are in force; absent without any. */
+    readonly proofAgeMs: number | undefined;
+    /** Time since the store last answered this host; absent when it never did. */
+    readonly storeAgeMs: number | undefined;
+    /** The newest listing of endpoints that the host has. */
+    readonly listing: Listing | undefined;
+    readonly samples: readonly Sample[];
+    readonly contacts: readonly Contact[];
+    /** What this host asked and admitted, by organisation. */
+    readonly account: allowances.Account;
+    /** Statements running and waiting, and connections open, by endpoint; those with neither are left out. */
+    readonly endpoints: Readonly<Record<string, readonly [load: number, open: number]>>;
+    /** Hosts that the sender knows. */
+    readonly known: readonly Member[];
+}
 
-const listing = z.object({
+/** A listing of endpoints that a host has. */
+export interface Listing {
     /** Digest of the endpoints listed: equal for equal listings. */
-    hash: z.string(),
-    ageMs: z.number().min(0),
-}).readonly();
+    readonly hash: string;
+    readonly ageMs: number;
+}
+
+/** A position that a group's primary reported, and the time since it was asked. */
+export interface Sample {
+    readonly group: string;
+    readonly position: positions.Position;
+    readonly ageMs: number;
+}
+
+/** A host's contact with a group's primary. */
+export interface Contact extends succession.Contact {
+    readonly group: string;
+    /** Epoch of the record that names the primary. */
+    readonly epoch: number;
+}
 
-/** What a host tells another about itself and what it knows. */
-export const digest = z.object({
+/** What of a digest rarely changes, and the names that a telling's numbers stand for. */
+export const outline = z.object({
     self: member,
-    /** Version of the configuration in force. */
     version: z.number(),
     tenures: z.array(tenure.schema).readonly(),
-    /** Age of the proof that the records are in force, in milliseconds; absent without any. */
-    proofAgeMs: z.number().optional(),
-    /** Time since the store last answered this host, in milliseconds; absent when it never did. */
-    storeAgeMs: z.number().optional(),
-    /** The newest listing of endpoints that the host has. */
-    listing: listing.optional(),
-    samples: z.array(sample).readonly(),
-    contacts: z.array(contact).readonly(),
-    /** What this host asked and admitted, by organisation. */
-    account: z.record(
-        z.string(),
-        z.object({ demand: z.number(), admitted: z.number(), left: z.number() }).readonly(),
-    ).readonly(),
-    /** Statements running and waiting, and connections open, by endpoint; those with neither are left out. */
-    endpoints: z.record(z.string(), z.tuple([z.number(), z.number()]).readonly()).readonly(),
-    /** Ids and addresses of hosts that the sender knows. */
     known: z.array(member).readonly(),
+    organisations: z.array(z.string()).readonly(),
+    endpoints: z.array(z.string()).readonly(),
+    groups: z.array(z.string()).readonly(),
 }).readonly();
-/** What a host tells another about itself and what it knows. */
-export type Digest = z.infer<typeof digest>;
+/** What of a digest rarely changes, and the names that a telling's numbers stand for. */
+export type Outline = z.infer<typeof outline>;
+
+const numbers = z.array(z.number()).readonly();
+
+/** A digest for one host, without what that host has; ages in milliseconds, -1 for none. */
+export const telling = z.tuple([
+    z.number().describe("number of the sending process"),
+    z.number().describe("number of the outline that is in force"),
+    outline.nullable().describe("the outline, unless the other host has it"),
+    z.number().nullable().describe("number of the other host's outline that the sender has"),
+    z.number().describe("age of the proof"),
+    z.number().describe("time since the store answered"),
+    z.tuple([z.string(), z.number()]).readonly().nullable().describe("listing of endpoints: digest and age"),
+    numbers.describe("samples: group, term, number, age"),
+    numbers.describe("contacts: group, epoch, time since the answer, time since the first failure"),
+    numbers.describe("account: organisation, demand in tenths a second, admitted, left"),
+    numbers.describe("use: endpoint, statements, connections"),
+]).readonly();
+/** A digest for one host, without what that host has. */
+export type Telling = z.infer<typeof telling>;
 
 const endpoint = z.object({
     id: z.string(),
@@ -88,7 +117,7 @@
 
 /** Calls between hosts. */
 export const peer = {
-    exchange: method("exchange", digest, digest),
+    exchange: method("exchange", telling, telling),
     /** Takes in a record of a primary; the answer confirms that the host no longer relies on an older one. */
     record: method("record", tenure.schema, nothing),
     /** The configuration as stored, and the endpoints, for a host that can't read the store. */
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -4,6 +4,7 @@
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
+import * as digests from "./digests.js";
 import type * as events from "./events.js";
 import * as protocol from "./messages.js";
 
@@ -42,7 +43,7 @@
     /** Hosts that exist as far as known, this one excluded. */
     all(): readonly Peer[];
     /** Answers another host. */
-    answer(digest: protocol.Digest): protocol.Digest;
+    answer(told: protocol.Telling): protocol.Telling;
     call<Request, Reply>(
         member: protocol.Member,
         method: messages.Method<Request, Reply>,
@@ -85,12 +86,19 @@
     registered: boolean;
     lost: boolean;
     channel: network.Channel | undefined;
+    /** Outline that the host's digests refer to, with its number. */
+    outline: { readonly number: number; readonly value: protocol.Outline } | undefined;
+    /** Number of this host's outline that the other has. */
+    theyHave: number | undefined;
 }
 
 /** Creates a view without other hosts. */
 export function createPeers(options: Options): Peers {
     const { clock, self } = options;
     const entries = new Map<string, Entry>();
+    /** Ids of hosts by the number of their process. */
+    const senders = new Map<number, string>();
+    const packer = digests.createPacker(options.random);
     let stop: (() => void) | undefined;
     let pending = new Set<string>();
 
@@ -109,16 +117,39 @@
             registered: false,
             lost: true,
             channel: undefined,
+            outline: undefined,
+            theyHave: undefined,
         };
         entries.set(member.id, created);
         return created;
     }
 
-    function hear(digest: protocol.Digest, askedMs: number | undefined): void {
-        if (digest.self.id === self.id) {
+    /** The entry and the digest that were told; undefined while the outline that it refers to is missing. */
+    function read(told: protocol.Telling): { entry: Entry; digest: protocol.Digest } | undefined {
+        const [sender, number, outline, weHave] = told;
+        if (outline !== null) {
+            senders.set(sender, outline.self.id);
+            const entry = note(outline.self);
+            entry.outline = { number, value: outline };
+        }
+        const entry = entries.get(senders.get(sender) ?? "");
+        if (entry?.outline?.number !== number) {
+            return undefined;
+        }
+        entry.theyHave = weHave ?? undefined;
+        return { entry, digest: digests.unpack(told, entry.outline.value) };
+    }
+
+    function tell(theyHave: number | undefined, weHave: number | undefined): protocol.Telling {
+        return packer.pack(options.digest(), theyHave, weHave);
+    }
+
+    function hear(told: protocol.Telling, askedMs: number | undefined): void {
+        const found = told[2]?.self.id === self.id ? undefined : read(told);
+        if (found === undefined) {
             return;
         }
-        const entry = note(digest.self);
+        const { entry, digest } = found;
         if (entry.lost) {
             options.events.emit("peerRegained", { peer: digest.self.id, incarnation: digest.self.incarnation });
         }
@@ -152,7 +183,7 @@
         pending.add(id);
         const askedMs = clock.now();
         const used = channel(entry);
-        const reply = await used.call(protocol.peer.exchange, options.digest(), timeoutMs);
+        const reply = await used.call(protocol.peer.exchange, tell(entry.theyHave, entry.outline?.number), timeoutMs);
         pending.delete(id);
         if (reply.isOk()) {
             hear(reply.value, askedMs);
@@ -175,7 +206,7 @@
     async function greet(address: string): Promise<void> {
         const askedMs = clock.now();
         const temporary = options.network.channel(address);
-        const reply = await temporary.call(protocol.peer.exchange, options.digest(), timeoutMs);
+        const reply = await temporary.call(protocol.peer.exchange, tell(undefined, undefined), timeoutMs);
         temporary.close();
         if (reply.isOk()) {
             hear(reply.value, askedMs);
@@ -199,6 +230,11 @@
                 entries.delete(id);
             }
         }
+        senders.forEach((id, sender) => {
+            if (!entries.has(id)) {
+                senders.delete(sender);
+            }
+        });
         // Spread over the interval, so that news comes steadily and hosts that started together do not call together.
         pick().forEach(entry => clock.after(options.random() * spreadMs, () => void exchange(entry)));
         const strangers = options.seeds.filter(address =>
@@ -231,9 +267,10 @@
                 entry.registered = ids.has(id);
             });
         },
-        answer(digest) {
-            hear(digest, undefined);
-            return options.digest();
+        answer(told) {
+            hear(told, undefined);
+            const entry = entries.get(senders.get(told[0]) ?? "");
+            return tell(told[3] ?? undefined, entry?.outline?.number);
         },
         call(member, method, request, limitMs) {
             const entry = entries.get(member.id);
@@ -270,7 +307,13 @@
         },
         async tell() {
             await Promise.all(
-                heard().map(entry => channel(entry as Entry).call(protocol.peer.exchange, options.digest(), timeoutMs)),
+                heard().map(entry =>
+                    channel(entry).call(
+                        protocol.peer.exchange,
+                        tell(entry.theyHave, entry.outline?.number),
+                        timeoutMs,
+                    )
+                ),
             );
         },
         close() {
