Let hosts exchange in cells, and let speakers sum them up for the others

Change: up to 16 hosts are one cell, as before. More are divided by failure domain. Hosts of a cell tell each other directly; its first two hosts tell the other cells' ones its sums and pass theirs on. What a cell admitted is counted in a frame that its hosts agree on, so that any of them can go on telling it. An outage of the store is seen through cells only when all news is younger than 1.5 s: open.

--- a/src/core/allowance.test.ts
+++ b/src/core/allowance.test.ts
@@ -24,6 +24,7 @@
             const told = hosts.map((host, id) => ({
                 id: String(id),
                 account: host.allowance.account(nowMs),
+                hosts: 1,
                 ageMs: 250,
             }));
             hosts.forEach((host, self) => {
@@ -121,6 +122,7 @@
                     const others = known.map(([id, entry]) => ({
                         id: String(id),
                         account: entry.account,
+                        hosts: 1,
                         ageMs: nowMs - entry.atMs,
                     }));
                     host.share({ others, unheard: hosts.length - 1 - others.length }, nowMs);
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -25,11 +25,13 @@
 /** What one host tells of all organisations that it saw lately. */
 export type Account = Readonly<Record<string, Usage>>;
 
-/** Another host's account. */
+/** Another host's account, or that of several hosts together. */
 export interface Other {
     /** Differs between two processes of one host, whose counts start anew. */
     readonly id: string;
     readonly account: Account;
+    /** Hosts whose account it is. */
+    readonly hosts: number;
     /** Time since the host told it, in milliseconds. */
     readonly ageMs: number;
 }
@@ -55,16 +57,21 @@
 interface Book {
     /** Operations left over the hosts that are heard, as far as known. */
     left: number;
+    /** Operations that the other hosts are expected to have admitted since they told. */
+    pending: number;
     /** Operations that this host may still admit. */
     credit: number;
-    /** True until one operation was admitted beyond the credit since the last exchange. */
-    pass: boolean;
+    /** Operations that may be admitted beyond the credit, as of the moment. */
+    passes: number;
+    passedMs: number;
     filledMs: number;
     part: number;
+    /** Share of what all hosts are asked that the limit allows. */
+    served: number;
     demand: number;
     demandMs: number;
-    /** Demand that the others were told last: parts worked out from unlike knowledge would add up to more than all. */
-    told: number;
+    /** Demand that the others were told, with when. */
+    readonly told: { readonly atMs: number; readonly demand: number }[];
     admitted: number;
     /** What each other host had admitted when last heard. */
     readonly seen: Map<string, number>;
@@ -88,10 +95,20 @@
 const assumedHosts = 8;
 /** Time for which a host takes others' accounts for its own, in milliseconds: until it has heard most of them. */
 const adoptMs = 2_000;
+/** Time for which told demand is kept, in milliseconds: longer than news takes to all hosts. */
+const toldMs = 4_000;
+const toldSpacingMs = 50;
 /** Longest debt after hosts were apart, in milliseconds of the rate; a longer one would punish the organisation. */
 const debtMs = 1_000;
 /** Operations by which all hosts together may overdraw their credits between two exchanges. */
 const overdraft = 6;
+/**
+ * Operations beyond its credit that a host saves up: where an organisation's callers are few to a host, two that come at
+ * once would find no credit though the account is full.
+ */
+const mostPasses = 4;
+/** Time in which a host gains one of them from a full account, in milliseconds: about the time that news takes. */
+const passMs = 600;
 /** Demand below which an organisation is left out of the account told to others, in operations a second. */
 const leastDemand = 0.1;
 
@@ -100,8 +117,8 @@
     let limits: ReadonlyMap<string, Limit> = new Map();
     const books = new Map<string, Book>();
     let hosts: number | undefined;
-    /** Other hosts of the exchange before. */
-    let heard: ReadonlySet<string> = new Set();
+    /** Accounts of the exchange before, by id. */
+    let heard: ReadonlyMap<string, Other> = new Map();
     let startedMs: number | undefined;
     /** Part of each limit that the hosts heard lately may use; the rest is left to those that were not. */
     let reach = 1;
@@ -115,13 +132,16 @@
         const part = 1 / (hosts ?? assumedHosts);
         const created: Book = {
             left,
+            pending: 0,
             credit: left * part,
-            pass: hosts !== undefined,
+            passes: hosts === undefined ? 0 : 1,
+            passedMs: nowMs,
             filledMs: nowMs,
             part,
+            served: 1,
             demand: 0,
             demandMs: nowMs,
-            told: 0,
+            told: [],
             admitted: 0,
             seen: new Map(),
         };
@@ -135,9 +155,14 @@
         return book.demand * 1_000 / memoryMs;
     }
 
+    /** What an account may hold: what others admitted and have not told yet is taken off later. */
+    function most(book: Book, limit: Limit): number {
+        return limit.burst * countedBurst * reach + book.pending;
+    }
+
     function fill(book: Book, limit: Limit, nowMs: number): void {
         const gained = limit.ratePerSecond * reach * (nowMs - book.filledMs) / 1_000;
-        book.left = Math.min(limit.burst * countedBurst * reach, book.left + gained);
+        book.left = Math.min(most(book, limit), book.left + gained);
         book.credit += gained * book.part;
         book.filledMs = nowMs;
     }
@@ -160,19 +185,49 @@
             // What a host admitted while it was not heard came off the rate that was left to it.
             book.seen.set(other.id, told.admitted);
         }
+        const present = new Set(others.map(other => other.id));
+        for (const [id, gone] of heard) {
+            // A host that falls silent has mostly ended, but hosts that are no longer heard together go on.
+            if (gone.hosts > 1 && !present.has(id)) {
+                book.left -= (gone.account[organisation]?.demand ?? 0) * book.served * gone.ageMs / 1_000;
+            }
+        }
         book.left = Math.max(book.left, -limit.ratePerSecond * debtMs / 1_000);
     }
 
+    /**
+     * The demand that the others know of, who on average heard it as long ago as this host heard theirs: parts worked
+     * out from unlike knowledge would add up to more than all.
+     */
+    function known(book: Book, atMs: number): number {
+        const later = book.told.findIndex(entry => entry.atMs > atMs);
+        return book.told[later < 0 ? book.told.length - 1 : Math.max(0, later - 1)]?.demand ?? 0;
+    }
+
+    function tell(book: Book, demand: number, nowMs: number): void {
+        if (nowMs - (book.told[book.told.length - 1]?.atMs ?? -Infinity) >= toldSpacingMs) {
+            book.told.push({ atMs: nowMs, demand });
+        }
+        while ((book.told[0]?.atMs ?? Infinity) < nowMs - toldMs) {
+            book.told.shift();
+        }
+    }
+
     /** Gives this host its part of what is left, less what the others are expected to have admitted since they told. */
-    function divide(book: Book, organisation: string, limit: Limit, others: readonly Other[]): void {
+    function divide(book: Book, organisation: string, limit: Limit, others: readonly Other[], nowMs: number): void {
         const demandOf = (other: Other): number => other.account[organisation]?.demand ?? 0;
-        const own = book.told + idleDemand;
-        const total = others.reduce((sum, other) => sum + demandOf(other) + idleDemand, own);
-        const served = Math.min(1, limit.ratePerSecond * reach / total);
-        const pending = others.reduce((sum, other) => sum + demandOf(other) * served * other.ageMs / 1_000, 0);
+        const count = others.reduce((sum, other) => sum + other.hosts, 0);
+        const age = others.reduce((sum, other) => sum + other.ageMs * other.hosts, 0) / Math.max(1, count);
+        const own = known(book, nowMs - age) + idleDemand;
+        const total = others.reduce((sum, other) => sum + demandOf(other) + idleDemand * other.hosts, own);
+        book.served = Math.min(1, limit.ratePerSecond * reach / total);
+        book.pending = others.reduce((sum, other) => sum + demandOf(other) * book.served * other.ageMs / 1_000, 0);
+        book.left = Math.min(book.left, most(book, limit));
         book.part = own / total;
-        book.credit = (book.left - pending) * book.part;
-        book.pass = book.left - pending >= 1;
+        book.credit = (book.left - book.pending) * book.part;
+        const fullness = Math.max(0, book.left - book.pending) / Math.max(1, limit.burst * countedBurst * reach);
+        book.passes = Math.min(mostPasses, book.passes + fullness * (nowMs - book.passedMs) / passMs);
+        book.passedMs = nowMs;
     }
 
     return {
@@ -188,7 +243,7 @@
                 }
             }
             startedMs ??= nowMs;
-            hosts = 1 + others.length + unheard;
+            hosts = others.reduce((sum, other) => sum + other.hosts, 1 + unheard);
             const before = reach;
             reach = 1 - unheard / hosts;
             books.forEach(book => {
@@ -209,9 +264,9 @@
                     continue;
                 }
                 settle(book, organisation, limit, others, nowMs);
-                divide(book, organisation, limit, others);
+                divide(book, organisation, limit, others, nowMs);
             }
-            heard = new Set(others.map(other => other.id));
+            heard = new Map(others.map(other => [other.id, other]));
         },
         admit(organisation, nowMs) {
             const limit = limits.get(organisation);
@@ -224,12 +279,12 @@
             fill(book, limit, nowMs);
             const least = 1 - Math.min(1, overdraft / (hosts ?? assumedHosts));
             if (book.credit <= least || (book.credit < 1 && book.left < 1)) {
-                if (!book.pass || book.left < 1) {
+                if (book.passes < 1 || book.left - book.pending < 1) {
                     const perSecond = Math.max(limit.ratePerSecond * book.part, Number.EPSILON);
                     const missing = Math.max(0.1, least - book.credit, 1 - Math.max(book.left, 0));
                     return { admitted: false, retryAfterMs: Math.min(memoryMs, missing * 1_000 / perSecond) };
                 }
-                book.pass = false;
+                book.passes -= 1;
             }
             book.credit -= 1;
             book.left -= 1;
@@ -239,8 +294,8 @@
         account(nowMs) {
             const told = [...books].flatMap(([organisation, book]): readonly (readonly [string, Usage])[] => {
                 const demand = Math.round(decay(book, nowMs) * 10) / 10;
-                const left = Math.floor(book.left / reach);
-                book.told = demand;
+                const left = Math.floor((book.left - book.pending) / reach);
+                tell(book, demand, nowMs);
                 return demand < leastDemand && book.admitted === 0 ? [] : [[organisation, {
                     demand,
                     admitted: book.admitted,
--- /dev/null
+++ b/src/core/cells.ts
@@ -0,0 +1,43 @@
+/**
+ * Hosts in cells, so that what hosts tell each other does not grow with the square of their number. The hosts of a
+ * cell tell each other directly; the first few of each cell speak for it with those of the other cells.
+ */
+import * as rendezvous from "./rendezvous.js";
+
+/** A host and where it is. */
+export interface Host {
+    readonly id: string;
+    readonly failureDomain: string;
+}
+
+/** Ids of the hosts of each cell, in order, by the cell's name. */
+export type Division = ReadonlyMap<string, readonly string[]>;
+
+/** Hosts of one cell: each of them handles as many exchanges a second in each direction, at 2 ms of processor time. */
+export const cellSize = 16;
+/** Hosts that speak for a cell: the loss of one is not noticed. */
+export const speakersPerCell = 2;
+
+/**
+ * Divides hosts into cells. Few hosts are one cell; more are divided by failure domain, and large failure domains by
+ * the hosts' ids, so that few hosts change their cell when one comes or goes.
+ */
+export function divide(hosts: readonly Host[]): Division {
+    const cells = new Map<string, string[]>();
+    const sizes = new Map<string, number>();
+    hosts.forEach(host => sizes.set(host.failureDomain, (sizes.get(host.failureDomain) ?? 0) + 1));
+    for (const { id, failureDomain } of hosts) {
+        const name = hosts.length <= cellSize ? "" : part(id, failureDomain, sizes.get(failureDomain) ?? 1);
+        const cell = cells.get(name) ?? [];
+        cell.push(id);
+        cells.set(name, cell);
+    }
+    cells.forEach(ids => ids.sort());
+    return cells;
+}
+
+function part(id: string, failureDomain: string, size: number): string {
+    const count = Math.ceil(size / cellSize);
+    const names = Array.from({ length: count }, (_, number) => `${failureDomain}/${number}`);
+    return rendezvous.order(id, names)[0] ?? failureDomain;
+}
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -144,7 +144,7 @@
     container.bind(id.allowance).toConstantValue(allowances.createAllowance());
     container.bind(id.peers).toDynamicValue(() =>
         peersPart.createPeers({
-            self,
+            self: () => self,
             seeds: settings.seeds,
             network: container.get(id.network),
             clock,
@@ -166,6 +166,7 @@
             proofAgeMs: () => tenures().ageMs(clock.now()),
             listing: () => knowledge().listing(),
             turn: () => knowledge().turn(),
+            watching: () => knowledge().watching(),
             missing: () => peers().fleet().unheard > 0,
             dutiful: () => container.get<promoters.DutyHolder>(id.duty).token() !== undefined,
             contents: (contents, askedMs) => knowledge().read(contents, askedMs),
--- /dev/null
+++ b/src/proxy/cells.ts
@@ -0,0 +1,119 @@
+/** What this host hears of other cells than its own, from their speakers or through those of its own cell. */
+import type * as allowances from "../core/allowance.js";
+import * as counts from "../core/count.js";
+import type * as tenure from "../core/tenure.js";
+import type * as messages from "./messages.js";
+
+/** The other cells, as heard. */
+export interface Cells {
+    /** Takes in a summary that a process told at the moment; with when it was asked for, absent when it came unasked. */
+    take(sender: number, summary: messages.Summary, toldMs: number, askedMs: number | undefined): void;
+    /** Each cell, as this host passes it on. */
+    summaries(nowMs: number): readonly messages.Summary[];
+    accounts(nowMs: number): readonly allowances.Other[];
+    /** Hosts of one cell that exist but are not heard; all of them without a young summary. */
+    unheard(cell: string, hosts: number, nowMs: number): number;
+    /** Witness of one cell's hosts together. */
+    witness(cell: string, nowMs: number): tenure.Witness;
+    /** Statements and connections of all other cells at an endpoint. */
+    use(endpoint: string, nowMs: number): readonly [load: number, open: number];
+    /** Forgets the cells that are not among these. */
+    keep(cells: ReadonlySet<string>): void;
+}
+
+/** Age from which a summary no longer counts, in milliseconds: three exchanges on its way, one of them lost. */
+const staleMs = 4_000;
+
+/** What one process told of a cell. */
+interface Entry {
+    readonly summary: messages.Summary;
+    /** When the cell's hosts told what is summed up. */
+    readonly atMs: number;
+    /** Moment after which each host of the cell was asked for its proof, and the youngest proof told since. */
+    readonly witnessedMs: number;
+    readonly proofAgeMs: number | undefined;
+}
+
+interface Cell {
+    readonly entries: Map<number, Entry>;
+    readonly admitted: counts.Count;
+}
+
+/** Creates a view in which no cell was heard of. */
+export function createCells(): Cells {
+    const cells = new Map<string, Cell>();
+
+    function youngest(cell: string, nowMs: number): Entry | undefined {
+        return [...cells.get(cell)?.entries.values() ?? []].reduce<Entry | undefined>(
+            (best, entry) => (nowMs - entry.atMs > staleMs || entry.atMs <= (best?.atMs ?? -Infinity) ? best : entry),
+            undefined,
+        );
+    }
+
+    function witness(cell: string, nowMs: number): tenure.Witness {
+        const entries = [...cells.get(cell)?.entries.values() ?? []].filter(entry => nowMs - entry.atMs <= staleMs);
+        const proofs = entries.flatMap(entry => entry.proofAgeMs ?? []);
+        return {
+            heardMs: nowMs - Math.max(-Infinity, ...entries.map(entry => entry.witnessedMs)),
+            proofAgeMs: proofs.length === 0 ? undefined : Math.min(...proofs),
+        };
+    }
+
+    return {
+        witness,
+        take(sender, summary, toldMs, askedMs) {
+            const known = cells.get(summary.cell)
+                ?? { entries: new Map<number, Entry>(), admitted: counts.createCount() };
+            cells.set(summary.cell, known);
+            const before = known.entries.get(sender);
+            const witnessed = askedMs !== undefined && summary.oldestMs !== undefined;
+            const proofs = [summary.proofAgeMs, witnessed ? undefined : before?.proofAgeMs].flatMap(age => age ?? []);
+            known.admitted.take(
+                summary.frame,
+                Object.fromEntries(Object.entries(summary.account).map(([name, usage]) => [name, usage.admitted])),
+            );
+            known.entries.set(sender, {
+                summary,
+                atMs: Math.max(toldMs - summary.ageMs, before?.atMs ?? -Infinity),
+                witnessedMs: witnessed ? askedMs - (summary.oldestMs ?? 0) : before?.witnessedMs ?? -Infinity,
+                proofAgeMs: proofs.length === 0 ? undefined : Math.min(...proofs),
+            });
+        },
+        summaries: nowMs =>
+            [...cells.keys()].flatMap(cell => {
+                const entry = youngest(cell, nowMs);
+                const { heardMs, proofAgeMs } = witness(cell, nowMs);
+                return entry === undefined ? [] : [{
+                    ...entry.summary,
+                    ageMs: Math.ceil(nowMs - entry.atMs),
+                    oldestMs: Number.isFinite(heardMs) ? Math.ceil(heardMs) : undefined,
+                    proofAgeMs,
+                }];
+            }),
+        accounts: nowMs =>
+            [...cells].flatMap(([cell, { admitted }]) => {
+                const entry = youngest(cell, nowMs);
+                const totals = admitted.totals();
+                const account = Object.entries(entry?.summary.account ?? {}).map(([organisation, usage]) =>
+                    [organisation, { ...usage, admitted: totals[organisation] ?? 0 }] as const
+                );
+                return entry === undefined ? [] : [{
+                    id: cell,
+                    account: Object.fromEntries(account),
+                    hosts: entry.summary.hosts,
+                    ageMs: nowMs - entry.atMs,
+                }];
+            }),
+        unheard: (cell, hosts, nowMs) => youngest(cell, nowMs)?.summary.unheard ?? hosts,
+        use(endpoint, nowMs) {
+            let [load, open] = [0, 0];
+            for (const cell of cells.keys()) {
+                const used = youngest(cell, nowMs)?.summary.endpoints[endpoint];
+                load += used?.[0] ?? 0;
+                open += used?.[1] ?? 0;
+            }
+            return [load, open];
+        },
+        keep: names => [...cells.keys()].filter(cell => !names.has(cell)).forEach(cell => cells.delete(cell)),
+    };
+}
--- a/src/proxy/digests.test.ts
+++ b/src/proxy/digests.test.ts
@@ -15,6 +15,12 @@
 const age = fc.nat(10_000);
 const maybe = fc.option(age, { nil: undefined });
 
+const account = fc.dictionary(
+    name,
+    fc.record({ demand: fc.nat(900).map(tenths => tenths / 10), admitted: fc.nat(), left: fc.integer() }),
+);
+const use = fc.dictionary(name, fc.tuple(fc.nat(99), fc.nat(99)));
+
 const digest: fc.Arbitrary<messages.Digest> = fc.record({
     self: fc.boolean().map(leaving => ({ ...self, leaving })),
     version: fc.nat(3),
@@ -28,12 +34,23 @@
         fc.record({ group: name, position: fc.record({ term: fc.nat(9), index: fc.nat() }), ageMs: age }),
     ),
     contacts: fc.array(fc.record({ group: name, epoch: fc.nat(9), answeredMs: maybe, failingMs: maybe })),
-    account: fc.dictionary(
-        name,
-        fc.record({ demand: fc.nat(900).map(tenths => tenths / 10), admitted: fc.nat(), left: fc.integer() }),
-    ),
-    endpoints: fc.dictionary(name, fc.tuple(fc.nat(99), fc.nat(99))),
+    account,
+    endpoints: use,
     known: fc.constant([]),
+    summaries: fc.array(
+        fc.record({
+            cell: name,
+            frame: fc.nat(),
+            ageMs: age,
+            hosts: fc.nat(16),
+            unheard: fc.nat(16),
+            oldestMs: maybe,
+            proofAgeMs: maybe,
+            account,
+            endpoints: use,
+        }),
+        { maxLength: 3 },
+    ),
 });
 
 /** A host that keeps the outline it was sent last, as far as messages arrive. */
--- a/src/proxy/digests.ts
+++ b/src/proxy/digests.ts
@@ -2,7 +2,7 @@
  * Digests as they travel: numbers that refer to an outline, and the outline only to a host that lacks it. An outline
  * holds what rarely changes; each process numbers its own, and says which of the other side's it has.
  */
-import type * as positions from "../core/position.js";
+import type * as allowances from "../core/allowance.js";
 import type * as messages from "./messages.js";
 
 /** Turns this host's digests into what one other host still lacks of them. */
@@ -64,10 +64,18 @@
     let number = sender;
     let text = "";
 
+    const packAccount = (account: allowances.Account): readonly number[] =>
+        Object.entries(account).flatMap((
+            [name, { demand, admitted, left }],
+        ) => [organisations.number(name), Math.round(demand * demandScale), admitted, left]);
+    const packUse = (use: messages.Digest["endpoints"]): readonly number[] =>
+        Object.entries(use).flatMap(([id, [load, open]]) => [endpoints.number(id), load, open]);
+
     return {
         pack(digest, theyHave, weHave) {
-            organisations.trim(Object.keys(digest.account).length);
-            endpoints.trim(Object.keys(digest.endpoints).length);
+            const told = [digest, ...digest.summaries];
+            organisations.trim(told.reduce((sum, entry) => sum + Object.keys(entry.account).length, 0));
+            endpoints.trim(told.reduce((sum, entry) => sum + Object.keys(entry.endpoints).length, 0));
             groups.trim(digest.tenures.length);
             const samples = digest.samples.flatMap((
                 { group, position, ageMs },
@@ -78,9 +86,22 @@
             const account = Object.entries(digest.account).flatMap((
                 [name, { demand, admitted, left }],
             ) => [organisations.number(name), Math.round(demand * demandScale), admitted, left]);
-            const use = Object.entries(digest.endpoints).flatMap((
-                [id, [load, open]],
-            ) => [endpoints.number(id), load, open]);
+            const use = packUse(digest.endpoints);
+            const summaries = digest.summaries.map(entry =>
+                [
+                    entry.cell,
+                    [
+                        entry.frame,
+                        age(entry.ageMs),
+                        entry.hosts,
+                        entry.unheard,
+                        age(entry.oldestMs),
+                        age(entry.proofAgeMs),
+                    ],
+                    packAccount(entry.account),
+                    packUse(entry.endpoints),
+                ] as const
+            );
             const outline: messages.Outline = {
                 self: digest.self,
                 version: digest.version,
@@ -107,16 +128,34 @@
                 contacts,
                 account,
                 use,
+                summaries,
             ];
         },
     };
 }
 
+function unpackAccount(account: readonly number[], names: readonly string[]): allowances.Account {
+    return Object.fromEntries(
+        rows(account, 4).flatMap(([of, demand = 0, admitted = 0, left = 0]) => {
+            const name = names[of ?? none];
+            return name === undefined ? [] : [[name, { demand: demand / demandScale, admitted, left }] as const];
+        }),
+    );
+}
+
+function unpackUse(use: readonly number[], names: readonly string[]): messages.Digest["endpoints"] {
+    return Object.fromEntries(
+        rows(use, 3).flatMap(([of, load = 0, open = 0]) => {
+            const name = names[of ?? none];
+            return name === undefined ? [] : [[name, [load, open] as const] as const];
+        }),
+    );
+}
+
 /** Reads a digest by the outline that its numbers refer to; numbers without a name are left out. */
 export function unpack(told: messages.Telling, outline: messages.Outline): messages.Digest {
-    const [, , , , proofAgeMs, storeAgeMs, listing, samples, contacts, account, use] = told;
+    const [, , , , proofAgeMs, storeAgeMs, listing, samples, contacts, account, use, summaries] = told;
     const group = (number: number | undefined): string => outline.groups[number ?? none] ?? "";
-    const position = (term: number, index: number): positions.Position => ({ term, index });
     return {
         self: outline.self,
         version: outline.version,
@@ -127,7 +166,7 @@
         listing: listing === null ? undefined : { hash: listing[0], ageMs: listing[1] },
         samples: rows(samples, 4).map(([of, term = 0, index = 0, ageMs = 0]) => ({
             group: group(of),
-            position: position(term, index),
+            position: { term, index },
             ageMs,
         })).filter(sample => sample.group !== "" && sample.ageMs >= 0),
         contacts: rows(contacts, 4).map(([of, epoch = 0, answeredMs, failingMs]) => ({
@@ -136,17 +175,20 @@
             answeredMs: ageOf(answeredMs),
             failingMs: ageOf(failingMs),
         })).filter(contact => contact.group !== ""),
-        account: Object.fromEntries(
-            rows(account, 4).flatMap(([of, demand = 0, admitted = 0, left = 0]) => {
-                const name = outline.organisations[of ?? none];
-                return name === undefined ? [] : [[name, { demand: demand / demandScale, admitted, left }] as const];
-            }),
-        ),
-        endpoints: Object.fromEntries(
-            rows(use, 3).flatMap(([of, load = 0, open = 0]) => {
-                const name = outline.endpoints[of ?? none];
-                return name === undefined ? [] : [[name, [load, open] as const] as const];
-            }),
-        ),
+        account: unpackAccount(account, outline.organisations),
+        endpoints: unpackUse(use, outline.endpoints),
+        summaries: summaries.map((
+            [cell, [frame = 0, ageMs = 0, hosts = 0, unheard = 0, oldestMs, proof], ...rest],
+        ) => ({
+            cell,
+            frame,
+            ageMs: Math.max(0, ageMs),
+            hosts,
+            unheard,
+            oldestMs: ageOf(oldestMs),
+            proofAgeMs: ageOf(proof),
+            account: unpackAccount(rest[0], outline.organisations),
+            endpoints: unpackUse(rest[1], outline.endpoints),
+        })),
     };
 }
--- a/src/proxy/follower.ts
+++ b/src/proxy/follower.ts
@@ -33,6 +33,8 @@
     listing(): messages.Listing | undefined;
     /** Place of this host among those that follow the store for all; the number of them for every other host. */
     turn(): number;
+    /** True when this host is one of those that watch the configuration for all. */
+    watching(): boolean;
     /** True while a host that exists is not heard. */
     missing(): boolean;
     /** True while this host has a duty that lives in the store. */
@@ -137,8 +139,6 @@
     let left = false;
     const rejected = new Set<string>();
 
-    const watching = (): boolean => options.turn() < watchers;
-
     function note(trouble: store.Trouble | undefined): void {
         if (trouble !== undefined && (trouble.kind === "refused" || trouble.kind === "unanswered")) {
             failedMs = clock.now();
@@ -266,11 +266,11 @@
     }
 
     async function followConfiguration(): Promise<void> {
-        if (!watching() && policy.version > 0 && clock.now() - configuredMs < unwatchedMs) {
+        if (!options.watching() && policy.version > 0 && clock.now() - configuredMs < unwatchedMs) {
             return;
         }
         let after = await readConfiguration();
-        for (let quiet = 0; !closed && after !== undefined && watching(); quiet += 1) {
+        for (let quiet = 0; !closed && after !== undefined && options.watching(); quiet += 1) {
             // A watch may hear nothing though the store is well, so it tells nothing of the store.
             const waited = await remote.watch(options.documents.configurationKey, after, watchMs);
             if (waited.isErr()) {
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -7,6 +7,7 @@
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as eventsPart from "./events.js";
+import type * as fleets from "./fleet.js";
 import * as followers from "./follower.js";
 import * as groupsPart from "./group.js";
 import * as messages from "./messages.js";
@@ -49,7 +50,7 @@
     /** Takes in this product's own keys as they were at the moment. */
     read(contents: registry.Contents, askedMs: number): void;
     /** What this host tells others. */
-    digest(): messages.Digest;
+    digest(): fleets.Told;
     /** Takes in what another host told; the moment is when it was asked, absent when it spoke first. */
     heard(told: messages.Digest, askedMs: number | undefined): void;
     /** Judges anew whether the records of primaries may be relied on. */
@@ -60,6 +61,8 @@
     listing(): messages.Listing | undefined;
     /** Place of this host among those that follow the store for all; the number of them for every other host. */
     turn(): number;
+    /** True when this host is one of those that watch the configuration for all. */
+    watching(): boolean;
 }
 
 /** Age of the endpoints' listing from which another host is asked for a newer one, in milliseconds. */
@@ -115,7 +118,7 @@
             trusts,
             regionOf: domain => options.failureDomains[domain],
             share: endpoint => share(name, endpoint),
-            otherLoad: endpoint => peers().load(endpoint),
+            otherLoad: endpoint => peers().use(endpoint)[0],
             endpoints: () => directory.ofGroup(name),
         });
         groups.set(name, created);
@@ -125,7 +128,7 @@
 
     function share(name: string, endpoint: string): shares.Share {
         const most = (follower().policy().groups.get(name)?.maxConnections ?? 1) - reservedConnections;
-        const open = peers().connections(endpoint) + (groups.get(name)?.pool(endpoint)?.size() ?? 0);
+        const open = peers().use(endpoint)[1] + (groups.get(name)?.pool(endpoint)?.size() ?? 0);
         return division.share(most, endpoint, peers().holders(), options.self().id, open);
     }
 
@@ -177,10 +180,7 @@
     }
 
     function judgeProof(): void {
-        const others = peers().all().map(peer => ({
-            heardMs: clock.now() - Math.max(peer.askedMs, peer.refusedMs),
-            proofAgeMs: peer.digest?.proofAgeMs,
-        }));
+        const others = peers().witnesses();
         tenures.witness(others, clock.now());
         const proven = tenures.proven(clock.now());
         if (proven !== wasProven) {
@@ -204,11 +204,10 @@
         return Object.fromEntries(used.filter(([, [load, open]]) => load > 0 || open > 0));
     }
 
-    function digest(): messages.Digest {
+    function digest(): fleets.Told {
         const nowMs = clock.now();
         const ageMs = tenures.ageMs(nowMs);
         return {
-            self: options.self(),
             version: follower().policy().version,
             tenures: tenures.all(),
             proofAgeMs: whole(ageMs),
@@ -231,7 +230,6 @@
             }),
             account: allowance.account(nowMs),
             endpoints: use(),
-            known: peers().all().map(peer => peer.member),
         };
     }
 
@@ -253,7 +251,7 @@
     /** Takes what this host lacks from another one that was heard lately. */
     async function catchUp(): Promise<void> {
         const sources = peers().heard();
-        const best = sources.reduce<peersPart.Peer | undefined>(
+        const best = sources.reduce<fleets.Peer | undefined>(
             (found, next) => ((next.digest?.version ?? 0) > (found?.digest?.version ?? -1) ? next : found),
             undefined,
         );
@@ -275,6 +273,13 @@
         }
     }
 
+    function turn(): number {
+        const able = peers().heard()
+            .filter(peer => (peer.digest?.storeAgeMs ?? Infinity) < ableMs && !peer.member.leaving)
+            .map(peer => peer.member.id);
+        return Math.min(able.filter(id => id < options.self().id).length, followers.watchers);
+    }
+
     return {
         look,
         group,
@@ -298,12 +303,8 @@
                 undefined,
             );
         },
-        turn() {
-            const able = peers().heard()
-                .filter(peer => (peer.digest?.storeAgeMs ?? Infinity) < ableMs && !peer.member.leaving)
-                .map(peer => peer.member.id);
-            return Math.min(able.filter(id => id < options.self().id).length, followers.watchers);
-        },
+        watching: () => turn() < Math.ceil(followers.watchers / peers().cells()),
+        turn,
         refresh() {
             const listedMs = follower().listedMs();
             if (listedMs === undefined || clock.now() - listedMs > staleListingMs) {
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -39,6 +39,27 @@
     readonly endpoints: Readonly<Record<string, readonly [load: number, open: number]>>;
     /** Hosts that the sender knows. */
     readonly known: readonly Member[];
+    /** What the sender tells of cells: of its own to another cell, of the others to its own. */
+    readonly summaries: readonly Summary[];
+}
+
+/** What the hosts of a cell are and do together, as one of its speakers heard it. */
+export interface Summary {
+    readonly cell: string;
+    /** Number of the frame in which the cell's hosts count what they admit. */
+    readonly frame: number;
+    /** Time since the hosts told what is summed up, on average. */
+    readonly ageMs: number;
+    /** Hosts that the speaker heard, itself included. */
+    readonly hosts: number;
+    /** Hosts of the cell that exist but were not heard. */
+    readonly unheard: number;
+    /** Time since each of the hosts had been asked for its proof; absent when one never was. */
+    readonly oldestMs: number | undefined;
+    /** Age of the youngest proof among the hosts; absent without any. */
+    readonly proofAgeMs: number | undefined;
+    readonly account: allowances.Account;
+    readonly endpoints: Digest["endpoints"];
 }
 
 /** A listing of endpoints that a host has. */
@@ -90,6 +111,14 @@
     numbers.describe("contacts: group, epoch, time since the answer, time since the first failure"),
     numbers.describe("account: organisation, demand in tenths a second, admitted, left"),
     numbers.describe("use: endpoint, statements, connections"),
+    z.array(
+        z.tuple([
+            z.string().describe("cell"),
+            numbers.describe("frame, age, hosts heard, hosts not heard, time since all were asked, age of the proof"),
+            numbers.describe("account, as above"),
+            numbers.describe("use, as above"),
+        ]).readonly(),
+    ).readonly().describe("summaries of cells"),
 ]).readonly();
 /** A digest for one host, without what that host has. */
 export type Telling = z.infer<typeof telling>;
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -1,47 +1,37 @@
 /** The other hosts: who they are, what they said last, and the exchange with them. */
 import type * as allowances from "../core/allowance.js";
 import * as failure from "../core/failure.js";
+import type * as tenure from "../core/tenure.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import * as digests from "./digests.js";
 import type * as events from "./events.js";
+import * as fleets from "./fleet.js";
 import * as protocol from "./messages.js";
 
 /** Settings of the exchange. */
 export interface Options {
-    readonly self: protocol.Member;
+    self(): protocol.Member;
     readonly seeds: readonly string[];
     readonly network: network.Network;
     readonly clock: runtime.HostClock;
     readonly events: events.Events;
     /** A number in [0, 1). */
     random(): number;
-    digest(): protocol.Digest;
+    digest(): fleets.Told;
     /** Takes in what another host said; the moment is when it was asked, absent when it spoke first. */
     heard(digest: protocol.Digest, askedMs: number | undefined): void;
 }
 
-/** Another host. */
-export interface Peer {
-    readonly member: protocol.Member;
-    /** What it said last. */
-    readonly digest: protocol.Digest | undefined;
-    readonly heardMs: number;
-    /** When it was last asked and answered. */
-    readonly askedMs: number;
-    /** When its address last refused a connection: no host ran there. */
-    readonly refusedMs: number;
-}
-
 /** The other hosts. */
 export interface Peers {
     /** Takes in the hosts registered in the store. */
     register(members: readonly protocol.Member[]): void;
     /** Hosts heard lately, this one excluded. */
-    heard(): readonly Peer[];
+    heard(): readonly fleets.Peer[];
     /** Hosts that exist as far as known, this one excluded. */
-    all(): readonly Peer[];
+    all(): readonly fleets.Peer[];
     /** Answers another host. */
     answer(told: protocol.Telling): protocol.Telling;
     call<Request, Reply>(
@@ -52,10 +42,12 @@
     ): network.Outcome<Reply>;
     /** What the hosts ask for, for the shares of limits. */
     fleet(): allowances.Fleet;
-    /** Statements at an endpoint from the other hosts. */
-    load(endpoint: string): number;
-    /** Connections to an endpoint from the other hosts. */
-    connections(endpoint: string): number;
+    /** Statements and connections at an endpoint from the other hosts. */
+    use(endpoint: string): readonly [load: number, open: number];
+    /** What the other hosts show of the store, those of other cells together. */
+    witnesses(): readonly tenure.Witness[];
+    /** Cells that the hosts are divided into. */
+    cells(): number;
     /** Ids of all hosts that may hold connections, this one included, in order. */
     holders(): readonly string[];
     start(): void;
@@ -66,54 +58,42 @@
 
 /** Time between two rounds, in milliseconds; each host also speaks to this one as often. */
 const intervalMs = 1_000;
-/** Hosts asked in one round; a round among more picks some at random. */
-const fanOut = 12;
-const spreadMs = 500;
+/** Time over which the exchanges of a round are spread, in milliseconds: the round, so that news comes steadily. */
+const spreadMs = 1_000;
 const timeoutMs = 400;
-/** Silence after which a host counts as not heard, in milliseconds: four exchanges, two of them its own. */
-const silentMs = 2_000;
+/** Bound of the numbers of frames, so that two hosts hardly ever have the same. */
+const frameRange = 2 ** 31;
 /** Silence after which a host that is not registered is forgotten, in milliseconds. */
 const forgetMs = 15_000;
 /** Time for which failed exchanges go on before the connection is replaced, in milliseconds. */
 const staleMs = 400;
 
-interface Entry {
-    member: protocol.Member;
-    digest: protocol.Digest | undefined;
-    heardMs: number;
-    askedMs: number;
-    refusedMs: number;
-    registered: boolean;
-    lost: boolean;
-    channel: network.Channel | undefined;
-    /** Outline that the host's digests refer to, with its number. */
-    outline: { readonly number: number; readonly value: protocol.Outline } | undefined;
-    /** Number of this host's outline that the other has. */
-    theyHave: number | undefined;
-}
-
 /** Creates a view without other hosts. */
 export function createPeers(options: Options): Peers {
-    const { clock, self } = options;
-    const entries = new Map<string, Entry>();
+    const { clock } = options;
+    const self = options.self();
+    const entries = new Map<string, fleets.Entry>();
     /** Ids of hosts by the number of their process. */
     const senders = new Map<number, string>();
     const packer = digests.createPacker(options.random);
+    const fleet = fleets.createFleet({ self, clock, entries, frame: Math.floor(options.random() * frameRange) });
+    const silent = fleets.silence(clock);
     let stop: (() => void) | undefined;
     let pending = new Set<string>();
 
-    function note(member: protocol.Member): Entry {
+    function note(member: protocol.Member): fleets.Entry {
         const known = entries.get(member.id);
         if (known !== undefined && known.member.incarnation === member.incarnation) {
             return known;
         }
         known?.channel?.close();
-        const created: Entry = {
+        const created: fleets.Entry = {
             member,
             digest: undefined,
             heardMs: clock.now(),
             askedMs: -Infinity,
             refusedMs: -Infinity,
+            failedMs: -Infinity,
             registered: false,
             lost: true,
             channel: undefined,
@@ -121,11 +101,12 @@
             theyHave: undefined,
         };
         entries.set(member.id, created);
+        fleet.changed();
         return created;
     }
 
     /** The entry and the digest that were told; undefined while the outline that it refers to is missing. */
-    function read(told: protocol.Telling): { entry: Entry; digest: protocol.Digest } | undefined {
+    function read(told: protocol.Telling): { entry: fleets.Entry; digest: protocol.Digest } | undefined {
         const [sender, number, outline, weHave] = told;
         if (outline !== null) {
             senders.set(sender, outline.self.id);
@@ -140,8 +121,11 @@
         return { entry, digest: digests.unpack(told, entry.outline.value) };
     }
 
-    function tell(theyHave: number | undefined, weHave: number | undefined): protocol.Telling {
-        return packer.pack(options.digest(), theyHave, weHave);
+    function tell(to: fleets.Entry | undefined, theyHave: number | undefined): protocol.Telling {
+        const told = options.digest();
+        const known = [...entries.values()].map(entry => entry.member);
+        const digest = { ...told, self: options.self(), known, summaries: fleet.summaries(told, to?.member.id) };
+        return packer.pack(digest, theyHave, to?.outline?.number);
     }
 
     function hear(told: protocol.Telling, askedMs: number | undefined): void {
@@ -158,6 +142,7 @@
         entry.heardMs = clock.now();
         entry.askedMs = Math.max(entry.askedMs, askedMs ?? -Infinity);
         entry.lost = false;
+        fleet.take(told[0], digest, entry.heardMs, askedMs);
         for (const member of digest.known) {
             if (member.id !== self.id && !entries.has(member.id)) {
                 note(member);
@@ -166,16 +151,12 @@
         options.heard(digest, askedMs);
     }
 
-    function silent(entry: Entry): boolean {
-        return entry.digest === undefined || clock.now() - entry.heardMs > silentMs;
-    }
-
-    function channel(entry: Entry): network.Channel {
+    function channel(entry: fleets.Entry): network.Channel {
         entry.channel ??= options.network.channel(entry.member.address);
         return entry.channel;
     }
 
-    async function exchange(entry: Entry): Promise<void> {
+    async function exchange(entry: fleets.Entry): Promise<void> {
         const { id } = entry.member;
         if (pending.has(id)) {
             return;
@@ -183,12 +164,13 @@
         pending.add(id);
         const askedMs = clock.now();
         const used = channel(entry);
-        const reply = await used.call(protocol.peer.exchange, tell(entry.theyHave, entry.outline?.number), timeoutMs);
+        const reply = await used.call(protocol.peer.exchange, tell(entry, entry.theyHave), timeoutMs);
         pending.delete(id);
         if (reply.isOk()) {
             hear(reply.value, askedMs);
             return;
         }
+        entry.failedMs = clock.now();
         if (reply.error.code === failure.Code.ownerUnreachable) {
             entry.refusedMs = askedMs;
         }
@@ -213,30 +195,23 @@
         }
     }
 
-    function pick(): readonly Entry[] {
-        const left = [...entries.values()];
-        const chosen: Entry[] = [];
-        while (left.length > 0 && chosen.length < fanOut) {
-            chosen.push(...left.splice(Math.floor(options.random() * left.length), 1));
-        }
-        return chosen;
-    }
-
     function round(): void {
         const nowMs = clock.now();
         for (const [id, entry] of entries) {
             if (!entry.registered && nowMs - entry.heardMs > forgetMs) {
                 entry.channel?.close();
                 entries.delete(id);
+                fleet.changed();
             }
         }
+        fleet.sweep();
         senders.forEach((id, sender) => {
             if (!entries.has(id)) {
                 senders.delete(sender);
             }
         });
         // Spread over the interval, so that news comes steadily and hosts that started together do not call together.
-        pick().forEach(entry => clock.after(options.random() * spreadMs, () => void exchange(entry)));
+        fleet.partners().forEach(entry => clock.after(options.random() * spreadMs, () => void exchange(entry)));
         const strangers = options.seeds.filter(address =>
             address !== self.address && ![...entries.values()].some(entry => entry.member.address === address)
         );
@@ -246,7 +221,7 @@
         }
     }
 
-    function heard(): readonly Entry[] {
+    function heard(): readonly fleets.Entry[] {
         return [...entries.values()].filter(entry => !silent(entry));
     }
 
@@ -270,29 +245,17 @@
         answer(told) {
             hear(told, undefined);
             const entry = entries.get(senders.get(told[0]) ?? "");
-            return tell(told[3] ?? undefined, entry?.outline?.number);
+            return tell(entry, told[3] ?? undefined);
         },
         call(member, method, request, limitMs) {
             const entry = entries.get(member.id);
             return (entry === undefined ? options.network.channel(member.address) : channel(entry))
                 .call(method, request, limitMs);
         },
-        fleet() {
-            const active = heard().filter(entry => !entry.member.leaving);
-            const others = active.flatMap(entry =>
-                entry.digest === undefined
-                    ? []
-                    : [{
-                        id: `${entry.member.id} ${entry.member.incarnation}`,
-                        account: entry.digest.account,
-                        ageMs: clock.now() - entry.heardMs,
-                    }]
-            );
-            const unheard = [...entries.values()].filter(entry => silent(entry) && entry.registered).length;
-            return { others, unheard };
-        },
-        load: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.endpoints[endpoint]?.[0] ?? 0), 0),
-        connections: endpoint => heard().reduce((sum, entry) => sum + (entry.digest?.endpoints[endpoint]?.[1] ?? 0), 0),
+        fleet: () => fleet.accounts(),
+        use: endpoint => fleet.use(endpoint),
+        cells: () => fleet.cells(),
+        witnesses: () => fleet.witnesses(),
         holders: () =>
             [
                 self.id,
@@ -310,7 +273,7 @@
                 heard().map(entry =>
                     channel(entry).call(
                         protocol.peer.exchange,
-                        tell(entry.theyHave, entry.outline?.number),
+                        tell(entry, entry.theyHave),
                         timeoutMs,
                     )
                 ),
