Report the three measures from logs, and say what a limit's refusal rests on

A refusal's line carries what is left, the host's credit and part, the hosts and the share of the limit that is within reach. Handlers of calls between hosts have a file of their own.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import * as failure from "../core/failure.js";
 import * as operations from "./operations.js";
 import * as output from "./output.js";
+import * as reporting from "./report.js";
 import * as tracing from "./trace.js";
 
 const platform = { type: "string", required: true, description: "Address of the platform, host:port" } as const;
@@ -96,6 +97,17 @@
     run: async ({ args }) => output.finish(await operations.drain(args.host), args.json, () => "The host drains."),
 });
 
+/** Log lines of files, or of standard input when none is named. */
+async function read(files: readonly string[]): Promise<neverthrow.Result<readonly tracing.Line[], failure.Failure>> {
+    const missing = files.find(file => !fs.existsSync(file));
+    if (missing !== undefined) {
+        const message = `File ${missing} does not exist.`;
+        return neverthrow.err(failure.create(failure.Code.statementInvalid, missing, message));
+    }
+    const inputs = files.length === 0 ? [process.stdin] : files.map(file => fs.createReadStream(file));
+    return neverthrow.ok((await Promise.all(inputs.map(tracing.collect))).flat());
+}
+
 const trace = citty.defineCommand({
     meta: {
         name: "trace",
@@ -104,16 +116,21 @@
     },
     args: { json, request: positional("Id of the request") },
     async run({ args }) {
-        const files = args._.slice(1);
-        const missing = files.find(file => !fs.existsSync(file));
-        if (missing !== undefined) {
-            const message = `File ${missing} does not exist.`;
-            output.finish(neverthrow.err(failure.create(failure.Code.statementInvalid, missing, message)), args.json);
-            return;
-        }
-        const inputs = files.length === 0 ? [process.stdin] : files.map(file => fs.createReadStream(file));
-        const lines = (await Promise.all(inputs.map(tracing.collect))).flat();
-        output.finish(tracing.tell(lines, args.request), args.json, tracing.print);
+        const lines = await read(args._.slice(1));
+        output.finish(lines.andThen(found => tracing.tell(found, args.request)), args.json, tracing.print);
+    },
+});
+
+const report = citty.defineCommand({
+    meta: {
+        name: "report",
+        description: "Work out the replicas' share of reads, the gaps at changes of primary, and the worst served "
+            + "organisations from log files, or from standard input. Example: hyssophatch report host-*.log",
+    },
+    args: { json },
+    async run({ args }) {
+        const lines = await read(args._);
+        output.finish(lines.map(reporting.measure), args.json, reporting.print);
     },
 });
 
@@ -132,6 +149,7 @@
         status,
         drain,
         trace,
+        report,
     },
 });
 
--- a/src/core/allowance.ts
+++ b/src/core/allowance.ts
@@ -43,13 +43,32 @@
     readonly unheard: number;
 }
 
+/** Whether an operation is admitted, and what that rests on. */
+export interface Decision {
+    readonly admitted: boolean;
+    readonly retryAfterMs: number;
+    readonly basis: Basis;
+}
+
+/** What a decision rests on, as this host knows it. */
+export interface Basis {
+    /** Operations left over all hosts, and those of them that this host may admit. */
+    readonly left: number;
+    readonly credit: number;
+    /** This host's part of the limit. */
+    readonly part: number;
+    /** Hosts that share the limit, and the share of it that those heard may use. */
+    readonly hosts: number;
+    readonly reach: number;
+}
+
 /** Admits operations of organisations. */
 export interface Allowance {
     limit(limits: ReadonlyMap<string, Limit>): void;
     /** Takes in what the other hosts told. */
     share(fleet: Fleet, nowMs: number): void;
     /** Takes one operation from the account; the time to come back when there is none. */
-    admit(organisation: string, nowMs: number): { readonly admitted: boolean; readonly retryAfterMs: number };
+    admit(organisation: string, nowMs: number): Decision;
     /** What this host tells the others. */
     account(nowMs: number): Account;
 }
@@ -167,6 +186,17 @@
         book.filledMs = nowMs;
     }
 
+    function basis(book: Book | undefined): Basis {
+        const tenths = (value: number): number => Math.round(value * 10) / 10;
+        return {
+            left: tenths((book?.left ?? 0) - (book?.pending ?? 0)),
+            credit: tenths(book?.credit ?? 0),
+            part: Math.round((book?.part ?? 0) * 1_000) / 1_000,
+            hosts: hosts ?? assumedHosts,
+            reach: tenths(reach),
+        };
+    }
+
     /** Takes off what the other hosts admitted. */
     function settle(book: Book, organisation: string, limit: Limit, others: readonly Other[], nowMs: number): void {
         const young = nowMs - (startedMs ?? nowMs) < adoptMs;
@@ -271,7 +301,7 @@
         admit(organisation, nowMs) {
             const limit = limits.get(organisation);
             if (limit === undefined) {
-                return { admitted: false, retryAfterMs: memoryMs };
+                return { admitted: false, retryAfterMs: memoryMs, basis: basis(undefined) };
             }
             const book = open(organisation, limit, nowMs);
             decay(book, nowMs);
@@ -282,14 +312,15 @@
                 if (book.passes < 1 || book.left - book.pending < 1) {
                     const perSecond = Math.max(limit.ratePerSecond * book.part, Number.EPSILON);
                     const missing = Math.max(0.1, least - book.credit, 1 - Math.max(book.left, 0));
-                    return { admitted: false, retryAfterMs: Math.min(memoryMs, missing * 1_000 / perSecond) };
+                    const retryAfterMs = Math.min(memoryMs, missing * 1_000 / perSecond);
+                    return { admitted: false, retryAfterMs, basis: basis(book) };
                 }
                 book.passes -= 1;
             }
             book.credit -= 1;
             book.left -= 1;
             book.admitted += 1;
-            return { admitted: true, retryAfterMs: 0 };
+            return { admitted: true, retryAfterMs: 0, basis: basis(book) };
         },
         account(nowMs) {
             const told = [...books].flatMap(([organisation, book]): readonly (readonly [string, Usage])[] => {
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -1,7 +1,6 @@
 /** Puts a host together for a platform that has database groups with terms. */
 import "reflect-metadata";
 import * as inversify from "inversify";
-import * as neverthrow from "neverthrow";
 import * as grpc from "../adapters/grpc.js";
 import * as allowances from "../core/allowance.js";
 import * as directories from "../core/directory.js";
@@ -16,6 +15,8 @@
 import * as eventsPart from "./events.js";
 import * as followers from "./follower.js";
 import type * as groupsPart from "./group.js";
+import * as handlers from "./handlers.js";
+import * as intervals from "./interval.js";
 import * as knowledges from "./knowledge.js";
 import * as messages from "./messages.js";
 import * as metricsPart from "./metrics.js";
@@ -130,6 +131,11 @@
     let readiness: { close(): void } | undefined;
     let metricsServer: { close(): void } | undefined;
 
+    const interval = intervals.createInterval(
+        clock.now(),
+        database => follower().policy().routes.get(database)?.consistency.kind === "primary",
+    );
+
     container.bind(id.clock).toConstantValue(clock);
     container.bind(id.events).toConstantValue(eventsPart.createEvents(log, clock));
     container.bind(id.metrics).toDynamicValue(() => metricsPart.createMetrics(levels)).inSingletonScope();
@@ -223,7 +229,7 @@
         entrances.createEntrance({
             clock,
             events: events(),
-            measures: metrics(),
+            measures: intervals.join(metrics(), interval),
             runner: runners.createRunner({ clock, events: events() }),
             transactions: transactions.createTransactions({ clock, events: events() }),
             allowance: allowance(),
@@ -244,6 +250,14 @@
     const follower = (): followers.Follower => container.get(id.follower);
     const promoter = (): promoters.Promoter => container.get(id.promoter);
     const knowledge = (): knowledges.Knowledge => container.get(id.knowledge);
+    const served = () =>
+        handlers.createHandlers({
+            clock,
+            peers: peers(),
+            knowledge: knowledge(),
+            follower: follower(),
+            directory: directory(),
+        });
     /** What all parts of the duty to replace primaries need. */
     const duties = () => ({
         clock,
@@ -287,26 +301,6 @@
         }
     }
 
-    function handlers(): readonly network.Handler[] {
-        return [
-            grpc.handle(messages.peer.exchange, async told => neverthrow.ok(peers().answer(told))),
-            grpc.handle(messages.peer.record, async record => {
-                await knowledge().handOver(record);
-                return neverthrow.ok({});
-            }),
-            grpc.handle(messages.peer.catalogue, async () => {
-                const { version, text } = follower().configuration();
-                const listedMs = follower().listedMs();
-                return neverthrow.ok({
-                    version,
-                    configuration: text,
-                    endpoints: directory().all(),
-                    ageMs: listedMs === undefined ? undefined : clock.now() - listedMs,
-                });
-            }),
-        ];
-    }
-
     async function drainCallers(): Promise<void> {
         const startMs = clock.now();
         const endMs = startMs + settings.graceMs - exitMarginMs;
@@ -328,7 +322,7 @@
     lifecycle.add({
         name: "peers",
         async start() {
-            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers());
+            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, served());
             peers().start();
         },
         async close() {
@@ -356,7 +350,13 @@
                 }),
                 clock.every(shareMs, () => shareLimits(startMs)),
                 clock.every(catalogueMs, () => knowledge().refresh()),
-                clock.every(flushMs, () => events().flush()),
+                clock.every(flushMs, () => {
+                    events().flush();
+                    const report = interval.take(follower().policy(), clock.now());
+                    if (report !== undefined) {
+                        events().emit("measured", { ...report });
+                    }
+                }),
             ];
         },
         close: () => stopTimers.forEach(stop => stop()),
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -52,6 +52,7 @@
     statementFailed: { ...trouble, message: "Statement failed." },
     statementRetried: { ...trouble, message: "Statement tried again." },
     statementServed: { ...success, message: "Statement served." },
+    measured: { ...belief, message: "What this host did since the last such line." },
     transactionLost: { ...trouble, message: "Transaction rolled back." },
 } as const satisfies Readonly<Record<string, Kind>>;
 
--- /dev/null
+++ b/src/proxy/handlers.ts
@@ -0,0 +1,41 @@
+/** What this host answers to other hosts. */
+import * as neverthrow from "neverthrow";
+import * as grpc from "../adapters/grpc.js";
+import type * as directories from "../core/directory.js";
+import type * as network from "../ports/network.js";
+import type * as runtime from "../ports/runtime.js";
+import type * as followers from "./follower.js";
+import type * as knowledges from "./knowledge.js";
+import * as messages from "./messages.js";
+import type * as peersPart from "./peers.js";
+
+/** What the answers are taken from. */
+export interface Options {
+    readonly clock: runtime.Clock;
+    readonly peers: peersPart.Peers;
+    readonly knowledge: knowledges.Knowledge;
+    readonly follower: followers.Follower;
+    readonly directory: directories.Directory;
+}
+
+/** Creates the handlers of all calls between hosts. */
+export function createHandlers(options: Options): readonly network.Handler[] {
+    const { clock, peers, knowledge, follower, directory } = options;
+    return [
+        grpc.handle(messages.peer.exchange, async told => neverthrow.ok(peers.answer(told))),
+        grpc.handle(messages.peer.record, async record => {
+            await knowledge.handOver(record);
+            return neverthrow.ok({});
+        }),
+        grpc.handle(messages.peer.catalogue, async () => {
+            const { version, text } = follower.configuration();
+            const listedMs = follower.listedMs();
+            return neverthrow.ok({
+                version,
+                configuration: text,
+                endpoints: directory.all(),
+                ageMs: listedMs === undefined ? undefined : clock.now() - listedMs,
+            });
+        }),
+    ];
+}
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -35,6 +35,12 @@
         labelNames: ["organisation", "mode", "role"],
         registers,
     });
+    const admitted = new prometheus.Counter({
+        name: "hyssophatch_operations_admitted_total",
+        help: "Operations within the limit of their organisation.",
+        labelNames: ["organisation"],
+        registers,
+    });
     const refused = new prometheus.Counter({
         name: "hyssophatch_statements_refused_total",
         help: "Statements and operations not served, by result code.",
@@ -66,6 +72,7 @@
     }
 
     return {
+        admitted: organisation => admitted.inc({ organisation }),
         served(database, organisation, primary, mode: caller.Mode, elapsedMs) {
             served.inc({ organisation, mode, role: primary ? "primary" : "replica" });
             latency.observe({ database, outcome: "served" }, elapsedMs / 1_000);
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -30,6 +30,8 @@
 
 /** Counts what sessions did. */
 export interface Measures {
+    /** An operation of an organisation is within its limit. */
+    admitted(organisation: string): void;
     served(route: string, organisation: string, primary: boolean, mode: caller.Mode, elapsedMs: number): void;
     refused(route: string, organisation: string, code: failure.Code, elapsedMs: number): void;
 }
@@ -105,6 +107,7 @@
         }
         const decision = options.allowance.admit(admitted.organisation, nowMs);
         if (decision.admitted) {
+            options.measures.admitted(admitted.organisation);
             return undefined;
         }
         const cause = allowances.exceeded(admitted.organisation, decision.retryAfterMs);
@@ -115,6 +118,7 @@
             code: cause.code,
             reason: cause.message,
             retryAfterMs: cause.retryAfterMs,
+            ...decision.basis,
         });
         options.measures.refused(database, admitted.organisation, cause.code, 0);
         return cause;
