--- a/standins/groups/endpoint.ts
+++ b/standins/groups/endpoint.ts
@@ -41,6 +41,8 @@
     readonly id: string;
     readonly address: string;
     readonly runs: readonly Run[];
+    /** Signatures given, by the id of the request. */
+    readonly signatures: ReadonlyMap<string, string>;
     log(): readonly Commit[];
     applied(): number;
     primary(): boolean;
@@ -80,6 +82,7 @@
     const sockets = new Set<net.Socket>();
     const sessions = new Set<Session>();
     const runs: Run[] = [];
+    const signatures = new Map<string, string>();
     let log: Commit[] = [];
     let applied = 0;
     let term = 1;
@@ -276,6 +279,9 @@
             }
             const state = session.failed ? "E" : session.transaction === undefined ? "I" : "T";
             const signature = reply.signed === true ? `${options.id}.${crypto.randomUUID()}` : "-";
+            if (reply.signed === true) {
+                signatures.set(id, signature);
+            }
             const outcome = reply.error === undefined
                 ? `${reply.rows.map(row => `ROW ${row}\r\n`).join("")}COMPLETE ${signature}\r\n`
                 : `ERROR ${reply.error} ${options.id}\r\n`;
@@ -299,6 +305,7 @@
         id: options.id,
         address: `127.0.0.1:${port}`,
         runs,
+        signatures,
         log: () => log,
         applied: () => applied,
         primary: () => leads,
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -43,6 +43,8 @@
     list(state?: Readonly<Record<string, string>>): void;
     /** Stops a host at once, as a kill does. */
     kill(host: number): Promise<void>;
+    /** Starts a host again that was killed, as a new process at the same addresses. */
+    restart(host: number): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -166,8 +168,13 @@
     const hosts: assembly.Host[] = [];
     const ports: number[] = [];
     const stopped = new Set<number>();
+    const addresses: (readonly [number, number, number])[] = [];
     for (let number = 0; number < options.hosts; number += 1) {
-        const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
+        addresses.push([await freePort(), await freePort(), await freePort()]);
+    }
+
+    function create(number: number): assembly.Host {
+        const [callers = 0, readiness = 0, peers = 0] = addresses[number] ?? [];
         const settings = settingsFile.parse({
             id: `host-${number}`,
             region: "ro-nord",
@@ -182,15 +189,19 @@
             graceMs: 1_500,
         })._unsafeUnwrap();
         const log = options.log ?? adapters.silent;
-        ports.push(callers);
-        hosts.push(assembly.createHost({
+        ports[number] = callers;
+        return assembly.createHost({
             settings,
             clock,
             log,
             platform: count => platform.create(settings, log, count),
             random: Math.random,
             incarnation: `${number}-${performance.now()}`,
-        }));
+        });
+    }
+
+    for (let number = 0; number < options.hosts; number += 1) {
+        hosts.push(create(number));
     }
     await Promise.all(hosts.map(host => host.start()));
     const deadline = performance.now() + 10_000;
@@ -214,6 +225,11 @@
             stopped.add(host);
             await hosts[host]?.close();
         },
+        async restart(host) {
+            hosts[host] = create(host);
+            stopped.delete(host);
+            await hosts[host].start();
+        },
         async close() {
             await Promise.all(hosts.map((host, number) => (stopped.has(number) ? undefined : host.close())));
             await Promise.all(running.map(endpoint => endpoint.crash()));
