--- /dev/null
+++ b/src/proxy/access.test.ts
@@ -0,0 +1,38 @@
+import * as chai from "chai";
+import * as failure from "../core/failure.js";
+import * as policies from "../core/policy.js";
+import * as access from "./access.js";
+
+const policy: policies.Policy = {
+    ...policies.none,
+    version: 1,
+    routes: new Map([["orders", {
+        database: "orders",
+        group: "ledger",
+        consistency: { kind: "primary" },
+        statementTimeoutMs: 1_000,
+        targetMs: 300,
+        priority: 1,
+        open: false,
+    }]]),
+    keys: new Map([["key-of-cluj", "cluj"]]),
+};
+
+describe("access", () => {
+    it("is given to a key in force, as its organisation", () => {
+        chai.expect(access.authorise(policy, "orders", "key-of-cluj")._unsafeUnwrap().organisation).to.equal("cluj");
+    });
+
+    it("is denied to other keys, and to databases that the configuration does not name", () => {
+        chai.expect(access.authorise(policy, "orders", "other")._unsafeUnwrapErr().code)
+            .to.equal(failure.Code.accessDenied);
+        chai.expect(access.authorise(policy, "stock", "key-of-cluj")._unsafeUnwrapErr().code)
+            .to.equal(failure.Code.routeUnknown);
+    });
+
+    it("is put off, not denied, by a host that has no configuration yet", () => {
+        const refused = access.authorise(policies.none, "orders", "key-of-cluj")._unsafeUnwrapErr();
+        chai.expect(refused.code).to.not.equal(failure.Code.routeUnknown);
+        chai.expect(refused.retryAfterMs).to.be.above(0);
+    });
+});
