Forget what ended processes told of their cells

What such a summary showed of the store also counted again with the next message, however old. Change: each round also drops summaries that no longer count. What an account says was admitted is read in one place (it was written in two). Test: a witness of before the silence no longer counts; red without the change.

--- a/src/core/tally.ts
+++ b/src/core/tally.ts
@@ -20,6 +20,11 @@
     figures(): Figures;
 }
 
+/** What an account says was admitted. */
+export function figuresOf(account: allowances.Account): Figures {
+    return Object.fromEntries(Object.entries(account).map(([organisation, { admitted }]) => [organisation, admitted]));
+}
+
 const sumOf = (figures: Figures): number => Object.values(figures).reduce((sum, figure) => sum + figure, 0);
 
 /** Creates a tally with a frame of its own. */
--- a/src/proxy/cells.test.ts
+++ b/src/proxy/cells.test.ts
@@ -44,6 +44,14 @@
         chai.expect(view.use("i-1", 9_000)).to.deep.equal([0, 0]);
     });
 
+    it("forget what a process told that ended, also what it showed of the store", () => {
+        const view = cells.createCells();
+        view.take(1, summary, 1_000, 990);
+        view.keep(new Set([summary.cell]), 9_000);
+        view.take(1, summary, 9_100, undefined);
+        chai.expect(view.witness("cluj/0", 9_100).heardMs).to.equal(Infinity);
+    });
+
     it("show the store only as of a moment after the question, and pass its age on", () => {
         const view = cells.createCells();
         view.take(1, summary, 1_000, undefined);
--- a/src/proxy/cells.ts
+++ b/src/proxy/cells.ts
@@ -1,6 +1,7 @@
 /** What this host hears of other cells than its own, from their speakers or through those of its own cell. */
 import type * as allowances from "../core/allowance.js";
 import * as counts from "../core/count.js";
+import * as tallies from "../core/tally.js";
 import type * as tenure from "../core/tenure.js";
 import type * as messages from "./messages.js";
 
@@ -17,8 +18,8 @@
     witness(cell: string, nowMs: number): tenure.Witness;
     /** Statements and connections of all other cells at an endpoint. */
     use(endpoint: string, nowMs: number): readonly [load: number, open: number];
-    /** Forgets the cells that are not among these. */
-    keep(cells: ReadonlySet<string>): void;
+    /** Forgets the cells that are not among these, and what no longer counts of the others. */
+    keep(cells: ReadonlySet<string>, nowMs: number): void;
 }
 
 /** Age from which a summary no longer counts, in milliseconds: three exchanges on its way, one of them lost. */
@@ -43,15 +44,17 @@
 export function createCells(): Cells {
     const cells = new Map<string, Cell>();
 
+    const young = (entry: Entry, nowMs: number): boolean => nowMs - entry.atMs <= staleMs;
+
     function youngest(cell: string, nowMs: number): Entry | undefined {
         return [...cells.get(cell)?.entries.values() ?? []].reduce<Entry | undefined>(
-            (best, entry) => (nowMs - entry.atMs > staleMs || entry.atMs <= (best?.atMs ?? -Infinity) ? best : entry),
+            (best, entry) => (!young(entry, nowMs) || entry.atMs <= (best?.atMs ?? -Infinity) ? best : entry),
             undefined,
         );
     }
 
     function witness(cell: string, nowMs: number): tenure.Witness {
-        const entries = [...cells.get(cell)?.entries.values() ?? []].filter(entry => nowMs - entry.atMs <= staleMs);
+        const entries = [...cells.get(cell)?.entries.values() ?? []].filter(entry => young(entry, nowMs));
         const proofs = entries.flatMap(entry => entry.proofAgeMs ?? []);
         return {
             heardMs: nowMs - Math.max(-Infinity, ...entries.map(entry => entry.witnessedMs)),
@@ -68,10 +71,7 @@
             const before = known.entries.get(sender);
             const witnessed = askedMs !== undefined && summary.oldestMs !== undefined;
             const proofs = [summary.proofAgeMs, witnessed ? undefined : before?.proofAgeMs].flatMap(age => age ?? []);
-            known.admitted.take(
-                summary.frame,
-                Object.fromEntries(Object.entries(summary.account).map(([name, usage]) => [name, usage.admitted])),
-            );
+            known.admitted.take(summary.frame, tallies.figuresOf(summary.account));
             known.entries.set(sender, {
                 summary,
                 atMs: Math.max(toldMs - summary.ageMs, before?.atMs ?? -Infinity),
@@ -114,6 +114,17 @@
             }
             return [load, open];
         },
-        keep: names => [...cells.keys()].filter(cell => !names.has(cell)).forEach(cell => cells.delete(cell)),
+        keep(names, nowMs) {
+            for (const [name, { entries }] of cells) {
+                if (!names.has(name)) {
+                    cells.delete(name);
+                }
+                for (const [sender, entry] of entries) {
+                    if (!young(entry, nowMs)) {
+                        entries.delete(sender);
+                    }
+                }
+            }
+        },
     };
 }
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -188,7 +188,7 @@
             places = undefined;
         },
         sweep() {
-            remote.keep(new Set(cells().map(([name]) => name)));
+            remote.keep(new Set(cells().map(([name]) => name)), clock.now());
             tally.keep(new Set([self.incarnation, ...mates().map(entry => entry.member.incarnation)]));
         },
         take(sender, digest, toldMs, askedMs) {
@@ -198,8 +198,7 @@
             }
             for (const summary of digest.summaries) {
                 if (summary.cell === own) {
-                    const figures = Object.entries(summary.account).map(([name, usage]) => [name, usage.admitted]);
-                    tally.adopt(summary.frame, Object.fromEntries(figures) as tallies.Figures);
+                    tally.adopt(summary.frame, tallies.figuresOf(summary.account));
                 }
                 else {
                     remote.take(sender, summary, toldMs, askedMs);
