Say things once: settings files, the interval's schema, refusals of transactions, numbers of processes

Found on reading the whole change; behaviour stays as it is, no test changed but for the argument of createPacker. - Both daemons check and load their settings by adapters/settingsfile. - The line of an interval has one schema, from which the report reads it; it was spelled twice, and parsed twice a report. - transactions refuse in one function, and whether another attempt is worth making is one predicate (six copies). - The session notes the position of a commit in one place. - An account is packed by one function; it had an inline copy. A process's number serves as its outline's first number and as its frame, instead of two random ones. The spread of a round is the round. - The comment on clocks in the report said more than the code does. Two exports nobody used are gone.

--- a/src/cli/report.ts
+++ b/src/cli/report.ts
@@ -1,14 +1,8 @@
 /** The users' three measures, worked out from the log lines of all hosts. */
 import * as z from "zod";
+import * as intervals from "../proxy/interval.js";
 import type * as tracing from "./trace.js";
 
-const counted = z.object({ admitted: z.number(), beyond: z.number(), failed: z.number(), ratePerSecond: z.number() });
-const did = z.looseObject({
-    ms: z.number(),
-    replicaReads: z.number(),
-    primaryReads: z.number(),
-    organisations: z.record(z.string(), counted),
-});
 const record = z.looseObject({ group: z.string(), epoch: z.number(), changing: z.boolean() });
 const suspicion = z.looseObject({ group: z.string(), primary: z.string(), reason: z.string(), epoch: z.number() });
 const loss = z.looseObject({ group: z.string(), endpoint: z.string(), sinceMs: z.number() });
@@ -70,7 +64,7 @@
         }
         const { group, primary, reason, epoch } = parsed.data;
         const suspectedAt = Date.parse(line.time);
-        // Lines of one host only are compared by their time of day.
+        // The settled record is read from the same host's lines; the loss may come from a host whose clock differs.
         const end = settled.find(entry => entry.group === group && entry.epoch > epoch && entry.host === line.host);
         const noticed = lost.filter(entry =>
             entry.group === group && entry.endpoint === primary
@@ -81,15 +75,26 @@
     });
 }
 
-function organisationsOf(lines: readonly tracing.Line[]): readonly Organisation[] {
+/** A line about an interval, and when it was written. */
+interface Measured extends intervals.Report {
+    readonly at: number;
+}
+
+function measuredOf(lines: readonly tracing.Line[]): readonly Measured[] {
+    return named(lines, "measured").flatMap(line => {
+        const parsed = intervals.schema.safeParse(line);
+        return parsed.success ? [{ ...parsed.data, at: Date.parse(line.time) }] : [];
+    });
+}
+
+function organisationsOf(measured: readonly Measured[]): readonly Organisation[] {
     const windows = new Map<
         string,
         { readonly name: string; admitted: number; beyond: number; failed: number; rate: number }
     >();
-    for (const line of named(lines, "measured")) {
-        const parsed = did.safeParse(line);
-        for (const [name, entry] of Object.entries(parsed.success ? parsed.data.organisations : {})) {
-            const key = `${Math.floor(Date.parse(line.time) / windowMs)} ${name}`;
+    for (const { at, organisations } of measured) {
+        for (const [name, entry] of Object.entries(organisations)) {
+            const key = `${Math.floor(at / windowMs)} ${name}`;
             const known = windows.get(key) ?? { name, admitted: 0, beyond: 0, failed: 0, rate: entry.ratePerSecond };
             known.admitted += entry.admitted;
             known.beyond += entry.beyond;
@@ -116,12 +121,9 @@
 
 /** Works the measures out. */
 export function measure(lines: readonly tracing.Line[]): Report {
-    const reads = named(lines, "measured").flatMap(line => {
-        const parsed = did.safeParse(line);
-        return parsed.success ? [parsed.data] : [];
-    });
-    const replicas = reads.reduce((sum, entry) => sum + entry.replicaReads, 0);
-    const all = reads.reduce((sum, entry) => sum + entry.primaryReads, replicas);
+    const measured = measuredOf(lines);
+    const replicas = measured.reduce((sum, entry) => sum + entry.replicaReads, 0);
+    const all = measured.reduce((sum, entry) => sum + entry.primaryReads, replicas);
     const changes = changesOf(lines);
     const gaps = changes.map(change => change.gapMs).sort((left, right) => left - right);
     return {
@@ -129,7 +131,7 @@
         changes,
         medianGapMs: gaps[Math.floor(gaps.length / 2)],
         worstGapMs: gaps[gaps.length - 1],
-        organisations: organisationsOf(lines),
+        organisations: organisationsOf(measured),
     };
 }
 
--- a/src/core/succession.ts
+++ b/src/core/succession.ts
@@ -29,7 +29,7 @@
 /** Time without an answer to any host after which a primary is replaced, in milliseconds; several probes. */
 export const silenceMs = 500;
 /** Time for which a part of the hosts must fail to reach a primary before it is replaced, in milliseconds. */
-export const partialMs = 1_200;
+const partialMs = 1_200;
 /** Part of the hosts that makes a primary worth replacing though the rest reach it. */
 const partialShare = 0.3;
 
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,8 +1,8 @@
 /** The settings of one host, read from a JSON file and checked. */
-import * as neverthrow from "neverthrow";
-import * as fs from "node:fs";
+import type * as neverthrow from "neverthrow";
 import * as z from "zod";
-import * as failure from "../core/failure.js";
+import * as settingsFile from "../adapters/settingsfile.js";
+import type * as failure from "../core/failure.js";
 
 const port = z.number().int().min(0).max(65_535);
 const name = z.string().min(1).max(63);
@@ -46,22 +46,10 @@
 
 /** Checks settings. `parse({ id: "h1", ... })` */
 export function parse(input: unknown): neverthrow.Result<Settings, failure.Failure> {
-    const parsed = schema.safeParse(input);
-    if (parsed.success) {
-        return neverthrow.ok(parsed.data);
-    }
-    const issues = parsed.error.issues.map(issue => `${issue.path.join(".") || "settings"}: ${issue.message}`);
-    const subject = parsed.error.issues[0]?.path.join(".") || "settings";
-    return neverthrow.err(failure.create(failure.Code.configurationInvalid, subject, issues.join(" ")));
+    return settingsFile.parse(schema, input);
 }
 
 /** Reads and checks a settings file. */
 export function load(file: string): neverthrow.Result<Settings, failure.Failure> {
-    try {
-        return parse(JSON.parse(fs.readFileSync(file, "utf8")));
-    }
-    catch (thrown) {
-        const message = `The settings file ${file} can't be read: ${String(thrown)}.`;
-        return neverthrow.err(failure.create(failure.Code.configurationInvalid, file, message));
-    }
+    return settingsFile.load(schema, file);
 }
--- a/src/proxy/digests.test.ts
+++ b/src/proxy/digests.test.ts
@@ -61,7 +61,7 @@
 describe("digests", () => {
     it("arrive as they were told, whatever is lost on the way, once the outline has arrived", () => {
         fc.assert(fc.property(fc.array(fc.tuple(digest, fc.boolean(), fc.boolean())), steps => {
-            const packer = digests.createPacker(() => 0.5);
+            const packer = digests.createPacker(7);
             const reader: Reader = { outline: undefined };
             let theyHave: number | undefined;
             for (const [told, lost, restarted] of steps) {
@@ -89,7 +89,7 @@
 
     it("send the outline to a host that lacks it, and not again", () => {
         const [told] = fc.sample(digest, { numRuns: 1, seed: 1 }) as [messages.Digest];
-        const packer = digests.createPacker(() => 0.5);
+        const packer = digests.createPacker(7);
         const [, number, outline] = packer.pack(told, undefined, undefined);
         chai.expect(outline).to.not.equal(null);
         chai.expect(packer.pack({ ...told, proofAgeMs: 7 }, number, undefined)[2]).to.equal(null);
@@ -98,12 +98,12 @@
 
     it("say which outline of the other side is known", () => {
         const [told] = fc.sample(digest, { numRuns: 1, seed: 1 }) as [messages.Digest];
-        chai.expect(digests.createPacker(() => 0.5).pack(told, undefined, 77)[3]).to.equal(77);
+        chai.expect(digests.createPacker(7).pack(told, undefined, 77)[3]).to.equal(77);
     });
 
     it("leave out what the outline does not name", () => {
         const [told] = fc.sample(digest, { numRuns: 1, seed: 1 }) as [messages.Digest];
-        const telling = digests.createPacker(() => 0.5).pack(told, undefined, undefined);
+        const telling = digests.createPacker(7).pack(told, undefined, undefined);
         const empty: messages.Outline = {
             self,
             version: 0,
--- a/src/proxy/digests.ts
+++ b/src/proxy/digests.ts
@@ -18,8 +18,6 @@
 const demandScale = 10;
 /** Stands for an age that there is none of. */
 const none = -1;
-/** Bound of the random part of outline numbers, so that two processes hardly ever share one. */
-const numberRange = 2 ** 31;
 /** Names kept in an outline's table beyond those in use before the table is made anew. */
 const spareNames = 64;
 
@@ -55,9 +53,8 @@
     );
 }
 
-/** Creates a packer; its numbers start at a random one. */
-export function createPacker(random: () => number): Packer {
-    const sender = Math.floor(random() * numberRange);
+/** Creates the packer of a process; outlines are numbered on from the process's own number. */
+export function createPacker(sender: number): Packer {
     const organisations = createNames();
     const endpoints = createNames();
     const groups = createNames();
@@ -83,9 +80,7 @@
             const contacts = digest.contacts.flatMap((
                 { group, epoch, answeredMs, failingMs },
             ) => [groups.number(group), epoch, age(answeredMs), age(failingMs)]);
-            const account = Object.entries(digest.account).flatMap((
-                [name, { demand, admitted, left }],
-            ) => [organisations.number(name), Math.round(demand * demandScale), admitted, left]);
+            const account = packAccount(digest.account);
             const use = packUse(digest.endpoints);
             const summaries = digest.summaries.map(entry =>
                 [
--- a/src/proxy/interval.ts
+++ b/src/proxy/interval.ts
@@ -1,27 +1,30 @@
 /** What this host did since its last line about it, so that the measures of a day can be worked out from logs alone. */
+import * as z from "zod";
 import * as failure from "../core/failure.js";
 import type * as policies from "../core/policy.js";
 import type * as sessions from "./session.js";
 
-/** What one organisation asked of this host in an interval: operations but for the failed, which are statements. */
-export interface Share {
-    readonly admitted: number;
+const share = z.object({
+    /** Operations within the limit. */
+    admitted: z.number(),
     /** Refused beyond the limit. */
-    readonly beyond: number;
-    /** Refused or failed for any other reason. */
-    readonly failed: number;
+    beyond: z.number(),
+    /** Statements refused or failed for any other reason. */
+    failed: z.number(),
     /** Operations a second that the limit allows over all hosts. */
-    readonly ratePerSecond: number;
-}
+    ratePerSecond: z.number(),
+}).readonly();
 
-/** What this host did in an interval. */
-export interface Report {
-    readonly ms: number;
+/** Schema of what a host did in an interval, as its line says it. */
+export const schema = z.object({
+    ms: z.number(),
     /** Reads that may miss commits, by who served them. */
-    readonly replicaReads: number;
-    readonly primaryReads: number;
-    readonly organisations: Readonly<Record<string, Share>>;
-}
+    replicaReads: z.number(),
+    primaryReads: z.number(),
+    organisations: z.record(z.string(), share).readonly(),
+}).readonly();
+/** What a host did in an interval. */
+export type Report = z.infer<typeof schema>;
 
 /** Counts what this host does. */
 export interface Interval extends sessions.Measures {
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -58,13 +58,11 @@
 
 /** Time between two rounds, in milliseconds; each host also speaks to this one as often. */
 const intervalMs = 1_000;
-/** Time over which the exchanges of a round are spread, in milliseconds: the round, so that news comes steadily. */
-const spreadMs = 1_000;
 /** Time within which a host that is new is asked, in milliseconds: spread, as many may be new to many at once. */
 const greetMs = 150;
 const timeoutMs = 400;
-/** Bound of the numbers of frames, so that two hosts hardly ever have the same. */
-const frameRange = 2 ** 31;
+/** Bound of the numbers of processes, so that two hardly ever have the same. */
+const numberRange = 2 ** 31;
 /** Silence after which a host that is not registered is forgotten, in milliseconds. */
 const forgetMs = 15_000;
 /** Time for which failed exchanges go on before the connection is replaced, in milliseconds. */
@@ -77,8 +75,9 @@
     const entries = new Map<string, fleets.Entry>();
     /** Ids of hosts by the number of their process. */
     const senders = new Map<number, string>();
-    const packer = digests.createPacker(options.random);
-    const fleet = fleets.createFleet({ self, clock, entries, frame: Math.floor(options.random() * frameRange) });
+    const number = Math.floor(options.random() * numberRange);
+    const packer = digests.createPacker(number);
+    const fleet = fleets.createFleet({ self, clock, entries, frame: number });
     const silent = fleets.silence(clock);
     let stop: (() => void) | undefined;
     let pending = new Set<string>();
@@ -220,7 +219,7 @@
             }
         });
         // Spread over the interval, so that news comes steadily and hosts that started together do not call together.
-        fleet.partners().forEach(entry => clock.after(options.random() * spreadMs, () => void exchange(entry)));
+        fleet.partners().forEach(entry => clock.after(options.random() * intervalMs, () => void exchange(entry)));
         const strangers = options.seeds.filter(address =>
             address !== self.address && ![...entries.values()].some(entry => entry.member.address === address)
         );
--- a/src/proxy/registry.ts
+++ b/src/proxy/registry.ts
@@ -48,7 +48,7 @@
 }
 
 /** Reads the holder of the duty. */
-export function readDuty(item: store.Item): Duty | undefined {
+function readDuty(item: store.Item): Duty | undefined {
     const parsed = decode.json(duty, item.value);
     return parsed.isOk() ? { ...parsed.value, token: item.revision } : undefined;
 }
--- a/src/proxy/runner.ts
+++ b/src/proxy/runner.ts
@@ -161,7 +161,7 @@
             for (;;) {
                 const found = await placing.find(statement.mode, context, tried);
                 if (found.isErr()) {
-                    if (tried.size > 0 && statements.left(context, clock) > statements.pauseMs + statements.leastMs) {
+                    if (tried.size > 0 && statements.mayRetry(context, clock)) {
                         tried.clear();
                         await clock.sleep(statements.pauseMs);
                         continue;
@@ -188,9 +188,7 @@
                     return neverthrow.ok(outcome.value);
                 }
                 last = outcome.error.cause;
-                if (
-                    !outcome.error.again || statements.left(context, clock) <= statements.pauseMs + statements.leastMs
-                ) {
+                if (!outcome.error.again || !statements.mayRetry(context, clock)) {
                     return neverthrow.err(statements.refuse(last, statement, context, options));
                 }
                 events.emit("statementRetried", {
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -153,6 +153,13 @@
         }
     }
 
+    /** Notes the position of a commit, which the session's later reads have to see. */
+    function remember(served: Result<statements.Served>, route: policies.Route, wrote: boolean): void {
+        if (served.isOk() && wrote && served.value.reply.position !== undefined) {
+            own = { group: route.group, position: served.value.reply.position, committedMs: clock.now() };
+        }
+    }
+
     function report(
         served: Result<statements.Served>,
         admitted: access.Admitted,
@@ -179,13 +186,7 @@
             return refuse(over);
         }
         const served = await runner.run(statement, context(admitted, admitted.route, nowMs, nowMs));
-        if (served.isOk() && statement.mode === "write" && served.value.reply.position !== undefined) {
-            own = {
-                group: admitted.route.group,
-                position: served.value.reply.position,
-                committedMs: clock.now(),
-            };
-        }
+        remember(served, admitted.route, statement.mode === "write");
         return report(served, admitted, statement.mode, nowMs);
     }
 
@@ -267,13 +268,7 @@
             return refuse(opened.error);
         }
         const served = await blocks.commit(opened.value, id, surroundings);
-        if (served.isOk() && opened.value.wrote && served.value.reply.position !== undefined) {
-            own = {
-                group: current.route.group,
-                position: served.value.reply.position,
-                committedMs: clock.now(),
-            };
-        }
+        remember(served, current.route, opened.value.wrote);
         return report(served, admitted, opened.value.wrote ? "write" : "read", nowMs);
     }
 
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -51,6 +51,11 @@
     return context.deadlineMs - clock.now();
 }
 
+/** True while there is time for another attempt after a pause. */
+export function mayRetry(context: Context, clock: runtime.Clock): boolean {
+    return left(context, clock) > pauseMs + leastMs;
+}
+
 function preparedKey(statement: Statement | undefined): string | undefined {
     return statement?.body.kind === "prepared" ? `${statement.mode} ${statement.body.shape}` : undefined;
 }
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -44,6 +44,15 @@
 export function createTransactions(options: Options): Transactions {
     const { clock } = options;
 
+    /** Logs why the request was not served, and gives the failure. */
+    function refuse(
+        cause: failure.Failure,
+        request: Pick<statements.Statement, "id">,
+        context: statements.Context,
+    ): neverthrow.Err<never, failure.Failure> {
+        return neverthrow.err(statements.refuse(cause, request, context, options));
+    }
+
     async function open(
         id: string,
         readOnly: boolean,
@@ -106,12 +115,12 @@
             for (;;) {
                 const found = await placing.find(mode, context, tried);
                 if (found.isErr()) {
-                    if (tried.size > 0 && statements.left(context, clock) > statements.pauseMs + statements.leastMs) {
+                    if (tried.size > 0 && statements.mayRetry(context, clock)) {
                         tried.clear();
                         await clock.sleep(statements.pauseMs);
                         continue;
                     }
-                    return neverthrow.err(statements.refuse(last ?? found.error, shown, context, options));
+                    return refuse(last ?? found.error, shown, context);
                 }
                 tried.add(found.value.endpoint);
                 const opened = await open(id, readOnly, found.value, context);
@@ -119,8 +128,8 @@
                     return neverthrow.ok(opened.value);
                 }
                 last = opened.error;
-                if (statements.left(context, clock) <= statements.pauseMs + statements.leastMs) {
-                    return neverthrow.err(statements.refuse(last, shown, context, options));
+                if (!statements.mayRetry(context, clock)) {
+                    return refuse(last, shown, context);
                 }
                 if (found.value.primary) {
                     await clock.sleep(statements.pauseMs);
@@ -134,14 +143,7 @@
             if (!await statements.prepare(lease, context, statement, clock)) {
                 lease.discard();
                 group.lost(endpoint, preparedMs, { late: true, message: "the session's values were not taken" });
-                return neverthrow.err(
-                    statements.refuse(
-                        statements.aborted(endpoint, "the endpoint was lost"),
-                        statement,
-                        context,
-                        options,
-                    ),
-                );
+                return refuse(statements.aborted(endpoint, "the endpoint was lost"), statement, context);
             }
             for (;;) {
                 const askedMs = clock.now();
@@ -154,14 +156,7 @@
                 if (answered.isErr()) {
                     lease.discard();
                     group.lost(endpoint, askedMs, answered.error);
-                    return neverthrow.err(
-                        statements.refuse(
-                            statements.aborted(endpoint, answered.error.message),
-                            statement,
-                            context,
-                            options,
-                        ),
-                    );
+                    return refuse(statements.aborted(endpoint, answered.error.message), statement, context);
                 }
                 const reply = answered.value;
                 const ran = reply.outcome.kind === "done";
@@ -172,10 +167,8 @@
                 }
                 const { refusal, text } = reply.outcome;
                 const patient = refusal === "busy" && reply.state === "transaction";
-                if (!patient || statements.left(context, clock) <= statements.pauseMs + statements.leastMs) {
-                    return neverthrow.err(
-                        statements.refuse(statements.translate(refusal, endpoint, text), statement, context, options),
-                    );
+                if (!patient || !statements.mayRetry(context, clock)) {
+                    return refuse(statements.translate(refusal, endpoint, text), statement, context);
                 }
                 await clock.sleep(statements.pauseMs);
             }
@@ -187,14 +180,7 @@
             for (;;) {
                 if (transaction.wrote && !group.leads(endpoint)) {
                     lease.discard();
-                    return neverthrow.err(
-                        statements.refuse(
-                            statements.aborted(endpoint, "the primary is being replaced"),
-                            shown,
-                            context,
-                            options,
-                        ),
-                    );
+                    return refuse(statements.aborted(endpoint, "the primary is being replaced"), shown, context);
                 }
                 const askedMs = clock.now();
                 const leave = group.enter(endpoint);
@@ -210,7 +196,7 @@
                     group.lost(endpoint, askedMs, answered.error);
                     const { sent, message } = answered.error;
                     const cause = sent ? statements.unknown(endpoint, message) : statements.aborted(endpoint, message);
-                    return neverthrow.err(statements.refuse(cause, shown, context, options));
+                    return refuse(cause, shown, context);
                 }
                 const reply = answered.value;
                 const ran = reply.outcome.kind === "done";
@@ -218,20 +204,13 @@
                 if (reply.outcome.kind === "done") {
                     lease.release();
                     return !confirmed
-                        ? neverthrow.err(
-                            statements.refuse(
-                                statements.unknown(endpoint, "the primary can't be confirmed"),
-                                shown,
-                                context,
-                                options,
-                            ),
-                        )
+                        ? refuse(statements.unknown(endpoint, "the primary can't be confirmed"), shown, context)
                         : neverthrow.ok({ reply, endpoint, primary: transaction.primary });
                 }
                 const { refusal, text } = reply.outcome;
                 if (
                     refusal === "busy" && reply.state === "transaction"
-                    && statements.left(context, clock) > statements.pauseMs + statements.leastMs
+                    && statements.mayRetry(context, clock)
                 ) {
                     await clock.sleep(statements.pauseMs);
                     continue;
@@ -240,7 +219,7 @@
                 const cause = connections.notRun.has(refusal)
                     ? statements.translate(refusal, endpoint, text)
                     : statements.unknown(endpoint, text);
-                return neverthrow.err(statements.refuse(cause, shown, context, options));
+                return refuse(cause, shown, context);
             }
         },
         rollback(transaction) {
