Keep the channel to a host that becomes known while it is asked as a seed

Cause: a starting host greets a seed over the channel that the network keeps for the address, and closes it afterwards. The seed still calls this host, so it counts as heard, and when it is the first one with a newer configuration every attempt to fetch that from it fails, without a line. Ruled out: outlines out of step (both sides drop what they know and believe together, and the property test covers loss and restart); a fetch that hangs (calls end by their own timer); the store (that host was turned away from it, which is what peers are for). Change: greeting closes the channel only when it failed and no entry uses it. Configurations are fetched from the host that answered last among those with the newest. A failed fetch has a line, catalogueMissed.

--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -29,6 +29,7 @@
     storeLost: { ...trouble, message: "The store does not answer." },
     storeRegained: { ...belief, message: "The store answers again." },
     peerLost: { ...trouble, message: "A host does not answer." },
+    catalogueMissed: { ...trouble, message: "A host did not give its configuration and endpoints." },
     peerRegained: { ...belief, message: "A host answers." },
     endpointLost: { ...trouble, message: "An endpoint does not answer." },
     endpointRegained: { ...belief, message: "An endpoint answers again." },
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -9,6 +9,7 @@
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
+import * as fleets from "./fleet.js";
 import * as protocol from "./messages.js";
 import * as peersPart from "./peers.js";
 
@@ -134,6 +135,35 @@
     return fleet;
 }
 
+describe("the host to ask for a configuration", () => {
+    const peer = (id: string, version: number, askedMs: number): fleets.Peer => ({
+        member: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false },
+        digest: {
+            self: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false },
+            version,
+            tenures: [],
+            proofAgeMs: undefined,
+            storeAgeMs: undefined,
+            listing: undefined,
+            samples: [],
+            contacts: [],
+            account: {},
+            endpoints: {},
+            known: [],
+            summaries: [],
+        },
+        heardMs: 900,
+        askedMs,
+        refusedMs: -Infinity,
+    });
+
+    it("has the newest, and of several answered last: one that never answered may be out of reach", () => {
+        const sources = [peer("mute", 26, -Infinity), peer("old", 24, 800), peer("a", 26, 300), peer("b", 26, 700)];
+        chai.expect(fleets.bestSource(sources)?.member.id).to.equal("b");
+        chai.expect(fleets.bestSource([])).to.equal(undefined);
+    });
+});
+
 describe("hosts in cells", function() {
     this.timeout(120_000);
 
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -80,6 +80,16 @@
     return entry => entry.digest === undefined || clock.now() - entry.heardMs > silentMs;
 }
 
+/**
+ * The host to ask for what this one lacks: of those with the newest configuration the one that answered last, as a host
+ * that only speaks to this one may be out of its reach.
+ */
+export function bestSource(sources: readonly Peer[]): Peer | undefined {
+    return [...sources].sort((left, right) =>
+        (right.digest?.version ?? 0) - (left.digest?.version ?? 0) || right.askedMs - left.askedMs
+    )[0];
+}
+
 /** Creates the view of a fleet whose hosts are kept by the exchange. */
 export function createFleet(options: Options): Fleet {
     const { self, clock, entries } = options;
--- a/src/proxy/knowledge.ts
+++ b/src/proxy/knowledge.ts
@@ -7,7 +7,7 @@
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as eventsPart from "./events.js";
-import type * as fleets from "./fleet.js";
+import * as fleets from "./fleet.js";
 import * as followers from "./follower.js";
 import * as groupsPart from "./group.js";
 import * as messages from "./messages.js";
@@ -250,11 +250,7 @@
 
     /** Takes what this host lacks from another one that was heard lately. */
     async function catchUp(): Promise<void> {
-        const sources = peers().heard();
-        const best = sources.reduce<fleets.Peer | undefined>(
-            (found, next) => ((next.digest?.version ?? 0) > (found?.digest?.version ?? -1) ? next : found),
-            undefined,
-        );
+        const best = fleets.bestSource(peers().heard());
         if (catchingUp || best === undefined) {
             return;
         }
@@ -263,6 +259,7 @@
         const reply = await peers().call(best.member, messages.peer.catalogue, {}, catalogueTimeoutMs);
         catchingUp = false;
         if (reply.isErr()) {
+            events.emit("catalogueMissed", { peer: best.member.id, reason: reply.error.message });
             return;
         }
         if (reply.value.version > follower().policy().version) {
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -195,11 +195,15 @@
 
     async function greet(address: string): Promise<void> {
         const askedMs = clock.now();
-        const temporary = options.network.channel(address);
-        const reply = await temporary.call(protocol.peer.exchange, tell(undefined, undefined), timeoutMs);
-        temporary.close();
+        const used = options.network.channel(address);
+        const reply = await used.call(protocol.peer.exchange, tell(undefined, undefined), timeoutMs);
         if (reply.isOk()) {
             hear(reply.value, askedMs);
+            return;
+        }
+        // The host may have become known meanwhile, and its exchange uses the same channel.
+        if (![...entries.values()].some(entry => entry.channel === used)) {
+            used.close();
         }
     }
 
