Put callers off while a host has no configuration yet

Ruled out: listening later (callers would be refused the connection just the same, without a time to come back). Change: without any configuration a login gets 1103, not run, come back in 100 ms.

--- a/src/proxy/access.ts
+++ b/src/proxy/access.ts
@@ -1,13 +1,16 @@
 /** Who may use which database, by the configuration in force. */
 import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
-import type * as policies from "../core/policy.js";
+import * as policies from "../core/policy.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
 /** Organisation named to endpoints on routes that are open to all, for callers without a known key. */
 export const anyone = "-";
 
+/** When a caller may come back to a host that starts, in milliseconds: reading the configuration takes some 100. */
+const retryMs = 100;
+
 /** What a caller may use, and as whom. */
 export interface Admitted {
     readonly route: policies.Route;
@@ -16,6 +19,10 @@
 
 /** Decides whether a key may use a database at the moment. */
 export function authorise(policy: policies.Policy, database: string, key: string): Result<Admitted> {
+    if (policy.version === policies.none.version) {
+        const message = "This host has no configuration yet.";
+        return neverthrow.err(failure.create(failure.Code.configurationStale, database, message, retryMs));
+    }
     const route = policy.routes.get(database);
     if (route === undefined) {
         return neverthrow.err(
