--- a/src/core/directory.test.ts
+++ b/src/core/directory.test.ts
@@ -10,6 +10,7 @@
     draining: false,
     primary: false,
     born: 1,
+    sequence: 1,
 });
 const ids = (endpoints: directory.Directory): readonly string[] => endpoints.all().map(entry => entry.id);
 
@@ -37,4 +38,46 @@
         endpoints.replace([], 23_000);
         chai.expect(ids(endpoints)).to.deep.equal(["a"]);
     });
+
+    it("starts the grace period anew when the store came back from an older copy that lacks an entry", () => {
+        const endpoints = directory.createDirectory(options);
+        endpoints.replace([endpoint("a")], 0);
+        endpoints.replace([], 1_000);
+        endpoints.storeRestored(1_500);
+        endpoints.replace([], 2_000);
+        endpoints.replace([], 4_400);
+        chai.expect(ids(endpoints)).to.deep.equal(["a"]);
+        endpoints.replace([], 4_600);
+        chai.expect(ids(endpoints)).to.deep.equal([]);
+    });
+
+    it("ignores reports older than the known one, which an older copy of the store lists again", () => {
+        const endpoints = directory.createDirectory(options);
+        const ready = { ...endpoint("a"), sequence: 5 };
+        endpoints.replace([{ ...ready, draining: true, sequence: 7 }], 0);
+        endpoints.storeRestored(500);
+        endpoints.replace([ready], 1_000);
+        chai.expect(endpoints.find("a")?.draining).to.equal(true);
+        endpoints.replace([{ ...ready, born: 2, sequence: 1 }], 2_000);
+        chai.expect(endpoints.find("a")?.draining).to.equal(false);
+        endpoints.replace([{ ...ready, sequence: 9 }], 3_000);
+        chai.expect(endpoints.find("a")?.born).to.equal(2);
+    });
+
+    it("accepts an endpoint that restarted with its clock set back, while the store is as it was", () => {
+        const endpoints = directory.createDirectory(options);
+        endpoints.replace([{ ...endpoint("a"), born: 9, sequence: 5 }], 0);
+        endpoints.replace([{ ...endpoint("a"), born: 8, sequence: 1 }], 1_000);
+        chai.expect(endpoints.find("a")?.born).to.equal(8);
+    });
+
+    it("does not offer an endpoint again that drained and left, when an older copy lists it", () => {
+        const endpoints = directory.createDirectory(options);
+        endpoints.replace([{ ...endpoint("a"), draining: true }], 0);
+        [1_000, 2_000, 3_000, 4_000].forEach(atMs => endpoints.replace([endpoint("b")], atMs));
+        chai.expect(ids(endpoints)).to.deep.equal(["b"]);
+        endpoints.storeRestored(4_500);
+        endpoints.replace([endpoint("a"), endpoint("b")], 5_000);
+        chai.expect(endpoints.find("a")?.draining).to.equal(true);
+    });
 });
--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -1,6 +1,7 @@
 /**
  * Endpoints as listed by the platform. The list lags, and loses entries during an outage of the store. A missing entry
- * is therefore kept for a grace period, which starts anew when the store returns from an outage.
+ * is therefore kept for a grace period, which starts anew when the store returns from an outage. When the store returns
+ * from an older copy, the list goes back until the endpoints have written their entries again.
  */
 
 /** An endpoint as listed. */
@@ -16,12 +17,19 @@
     readonly primary: boolean;
     /** Start time of the endpoint's process. Another start time means a new process, without the earlier state. */
     readonly born: number;
+    /** Number of the endpoint's report, which rises as long as the process lives. */
+    readonly sequence: number;
 }
 
 /** All known endpoints. */
 export interface Directory {
     /** Replaces the entries by a complete listing, requested at the given time. */
     replace(listed: readonly Endpoint[], requestedAtMs: number): void;
+    /**
+     * Notes that the store came back from an older copy: entries that it lacks are written again, and for a while entries
+     * older than the known ones are ignored.
+     */
+    storeRestored(nowMs: number): void;
     find(id: string): Endpoint | undefined;
     inGroup(group: string): readonly Endpoint[];
     all(): readonly Endpoint[];
@@ -35,22 +43,53 @@
     readonly outageGapMs: number;
 }
 
+/** Time for which entries that are no longer listed are remembered; longer than any copy of the store is old. */
+const departedRetentionMs = 120_000;
+/** Time in which endpoints write their entries again, or the platform removes those of endpoints that are gone. */
+const rewriteTimeoutMs = 10_000;
+
 interface Entry {
     readonly endpoint: Endpoint;
     /** When the entry first went missing, or the end of a later outage; undefined while it is listed. */
     readonly missingSinceMs: number | undefined;
 }
 
+/** The newer of two reports under the same id. An endpoint that drains doesn't stop draining while its process lives. */
+function newerReport(known: Endpoint | undefined, listed: Endpoint): Endpoint {
+    if (known === undefined || listed.born > known.born) {
+        return listed;
+    }
+    if (listed.born < known.born || listed.sequence < known.sequence) {
+        return known;
+    }
+    return known.draining && !listed.draining ? { ...listed, draining: true } : listed;
+}
+
 /** Creates an empty directory. */
 export function createDirectory(options: Options): Directory {
     let entries = new Map<string, Entry>();
+    const departed = new Map<string, { readonly endpoint: Endpoint; readonly atMs: number }>();
     let lastListingMs = -Infinity;
+    let mayGoBackUntilMs = -Infinity;
     return {
+        storeRestored(nowMs) {
+            lastListingMs = -Infinity;
+            mayGoBackUntilMs = nowMs + rewriteTimeoutMs;
+        },
         replace(listed, requestedAtMs) {
             const afterOutage = requestedAtMs - lastListingMs > options.outageGapMs;
             const next = new Map<string, Entry>(
-                listed.map(endpoint => [endpoint.id, { endpoint, missingSinceMs: undefined }]),
+                listed.map(endpoint => {
+                    const known = entries.get(endpoint.id)?.endpoint ?? departed.get(endpoint.id)?.endpoint;
+                    const current = requestedAtMs < mayGoBackUntilMs ? newerReport(known, endpoint) : endpoint;
+                    return [endpoint.id, { endpoint: current, missingSinceMs: undefined }];
+                }),
             );
+            departed.forEach((entry, id) => {
+                if (next.has(id) || requestedAtMs - entry.atMs > departedRetentionMs) {
+                    departed.delete(id);
+                }
+            });
             for (const [id, entry] of entries) {
                 if (next.has(id)) {
                     continue;
@@ -59,6 +98,9 @@
                 if (requestedAtMs - missingSinceMs < options.missingGraceMs) {
                     next.set(id, { endpoint: entry.endpoint, missingSinceMs });
                 }
+                else {
+                    departed.set(id, { endpoint: entry.endpoint, atMs: requestedAtMs });
+                }
             }
             lastListingMs = requestedAtMs;
             entries = next;
--- a/src/platform/documents.test.ts
+++ b/src/platform/documents.test.ts
@@ -24,6 +24,7 @@
             slots: 2,
             draining: false,
             primary: false,
+            sequence: 4,
             born: 17,
         });
     });
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -82,6 +82,7 @@
     state: z.enum(["ready", "draining"]),
     db_role: z.enum(["primary", "replica"]),
     born: z.number().int().default(0),
+    sequence: z.number().default(0),
 });
 
 /** Parses an endpoint's entry, whose key ends in the endpoint's id; the error says what is invalid. */
@@ -95,5 +96,6 @@
         draining: value.state === "draining",
         primary: value.db_role === "primary",
         born: value.born,
+        sequence: value.sequence,
     }));
 }
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -1,6 +1,6 @@
 /**
- * HTTP requests with a deadline. A request that times out destroys its connection, as the other end may never
- * respond on it again.
+ * HTTP requests with a limit on the time without progress, so that a long response over a slow link isn't cut off. A
+ * request that times out destroys its connection, as the other end may never respond on it again.
  */
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
@@ -8,6 +8,8 @@
 /** A complete response. */
 export interface Response {
     readonly status: number;
+    /** Names are in lower case. */
+    readonly headers: http.IncomingHttpHeaders;
     readonly body: string;
 }
 
@@ -18,10 +20,14 @@
     readonly path: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: unknown;
+    /** Time in which the response must begin, and longest pause within it. */
     readonly timeoutMs: number;
     readonly agent: http.Agent;
 }
 
+/** Longest time for a whole response, however steadily it arrives: a response of 1 MiB over a link of 1 Mbit/s. */
+const maxResponseMs = 10_000;
+
 /** Sends a request; the error says why no complete response arrived. */
 export function send(request: Request): Promise<neverthrow.Result<Response, string>> {
     return new Promise(resolve => {
@@ -39,22 +45,34 @@
             agent: request.agent,
         });
         const timer = setTimeout(
-            () => clientRequest.destroy(new Error(`no response within ${request.timeoutMs} ms`)),
+            () => clientRequest.destroy(new Error(`no progress within ${request.timeoutMs} ms`)),
             request.timeoutMs,
         );
+        const limit = setTimeout(
+            () => clientRequest.destroy(new Error(`no complete response within ${maxResponseMs} ms`)),
+            Math.max(maxResponseMs, request.timeoutMs),
+        );
         const settle = (result: neverthrow.Result<Response, string>): void => {
             clearTimeout(timer);
+            clearTimeout(limit);
             resolve(result);
         };
         clientRequest.on("error", error => settle(neverthrow.err(error.message)));
         clientRequest.on("response", response => {
             const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                timer.refresh();
+            });
             response.on("error", error => settle(neverthrow.err(error.message)));
             response.on("aborted", () => settle(neverthrow.err("the response was truncated")));
             response.on("end", () => {
                 settle(
-                    neverthrow.ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString("utf8") }),
+                    neverthrow.ok({
+                        status: response.statusCode ?? 0,
+                        headers: response.headers,
+                        body: Buffer.concat(chunks).toString("utf8"),
+                    }),
                 );
             });
         });
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,6 +1,7 @@
 /** Implements the ports of a host for the platform: its wire protocol, its store and its promotion calls. */
 import type * as runtime from "../ports/runtime.js";
-import type * as assembly from "../proxy/assembly.js";
+import type * as storePort from "../ports/store.js";
+import type * as platforms from "../proxy/platform.js";
 import type * as settingsFile from "../proxy/settings.js";
 import * as callers from "./callers.js";
 import * as documents from "./documents.js";
@@ -23,9 +24,10 @@
     settings: settingsFile.Settings,
     log: runtime.Log,
     countCall: (kind: string, result: string) => void,
-): assembly.Platform {
+    era: storePort.Era,
+): platforms.Platform {
     return {
-        store: store.createStore({ address: settings.store, timeoutMs: storeTimeoutMs, countCall }),
+        store: store.createStore({ address: settings.store, timeoutMs: storeTimeoutMs, countCall, era }),
         promotions: store.createPromotions({
             address: settings.promotions,
             timeoutMs: promotionTimeoutMs,
--- a/src/platform/path.test.ts
+++ b/src/platform/path.test.ts
@@ -275,7 +275,7 @@
     });
 
     it("moves the failover lock to another host when its holder dies", async () => {
-        const holder = (): string => JSON.parse(world.store.get("hyssophatch/duty/promotion") ?? "{}").holder ?? "";
+        const holder = (): string => JSON.parse(world.store.get("hyssophatch/1/duty/promotion") ?? "{}").holder ?? "";
         await waitUntil(() => holder() !== "", 3_000);
         const firstHolder = holder();
         await world.kill(Number(firstHolder.slice(-1)));
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import * as z from "zod";
 import * as decode from "../core/decode.js";
+import * as storeEra from "../core/storeera.js";
 import type * as store from "../ports/store.js";
 import * as httpClient from "./http.js";
 
@@ -16,6 +17,11 @@
     readonly countCall?: CallCounter;
 }
 
+/** Settings of a client of the store. */
+export interface StoreOptions extends Options {
+    readonly era: store.Era;
+}
+
 const basePath = "/hyssophatch";
 /** Limit on the pages of one range read, against a store that reports more pages without end. */
 const maxPages = 200;
@@ -33,7 +39,11 @@
     has_more: z.boolean().default(false),
     current_rev: z.number(),
 });
-const watchResponse = z.object({ events: z.array(z.unknown()), current_rev: z.number() });
+const tombstoneSchema = z.object({ key: z.string(), revision: z.number(), tombstone: z.literal(true) });
+const watchResponse = z.object({
+    events: z.array(z.union([tombstoneSchema, itemSchema])),
+    current_rev: z.number(),
+});
 const changeResponse = z.object({ revision: z.number() });
 const grantResponse = z.object({ lease: z.number(), ttl_ms: z.number() });
 const ignoredResponse = z.unknown();
@@ -43,6 +53,10 @@
     return { key: item.key, value, revision: item.revision, lease: item.lease };
 }
 
+/** Header of every response of the store: its era. A store without it has never come back from a copy. */
+const eraHeader = "store-era";
+const eraSchema = z.coerce.number().int().min(0).max(storeEra.maxEra).default(0);
+
 const statusOk = 200;
 const statusNotFound = 404;
 const statusGone = 410;
@@ -54,7 +68,7 @@
  * Creates a client of the store. HTTP 429 and 503 mean that a call had no effect; after a timeout or an unexpected
  * status it may have had one.
  */
-export function createStore(options: Options): store.Store {
+export function createStore(options: StoreOptions): store.Store {
     const agent = new http.Agent({ keepAlive: true, keepAliveMsecs: 1_000, maxSockets: 8, scheduling: "lifo" });
     const countCall = options.countCall ?? (() => undefined);
 
@@ -64,6 +78,7 @@
         request: Pick<httpClient.Request, "method" | "path" | "body">,
         timeoutMs = options.timeoutMs,
     ): Promise<neverthrow.Result<T, store.StoreError>> {
+        const eraAtSend = options.era.current();
         const response = await httpClient.send({ ...request, address: options.address, timeoutMs, agent });
         countCall(
             kind,
@@ -73,7 +88,15 @@
         if (response.isErr()) {
             return neverthrow.err({ kind: "unanswered", message: response.error });
         }
-        const { status, body } = response.value;
+        const { status, headers, body } = response.value;
+        const era = eraSchema.safeParse(headers[eraHeader]);
+        if (!era.success) {
+            return neverthrow.err({ kind: "unanswered", message: `The era ${headers[eraHeader]} can't be parsed.` });
+        }
+        if (!storeEra.accept(options.era, eraAtSend, era.data)) {
+            const message = `Sent in era ${eraAtSend}, answered in era ${era.data}.`;
+            return neverthrow.err({ kind: "restored", message });
+        }
         if (status === statusOk) {
             return parseResponse(schema, body);
         }
@@ -93,13 +116,20 @@
         const items: store.Item[] = [];
         let after = "";
         let firstRevision: number | undefined;
+        let era: number | undefined;
         for (let pages = 0; pages < maxPages; pages += 1) {
             const query = new URLSearchParams(after === "" ? { prefix } : { prefix, after });
             const result = await call("range", rangeResponse, { method: "GET", path: `${basePath}/kv-range?${query}` });
             if (result.isErr()) {
                 return neverthrow.err(result.error);
             }
-            firstRevision ??= result.value.current_rev;
+            if (firstRevision === undefined) {
+                firstRevision = result.value.current_rev;
+                era = options.era.current();
+            }
+            if (era !== options.era.current()) {
+                return neverthrow.err({ kind: "restored", message: "The pages of a range are of several eras." });
+            }
             items.push(...result.value.items.map(decodeItem));
             after = items[items.length - 1]?.key ?? "";
             if (!result.value.has_more || result.value.items.length === 0) {
@@ -121,7 +151,10 @@
             const query = new URLSearchParams({ prefix, after: String(after), wait_ms: String(Math.round(waitMs)) });
             const path = `${basePath}/kv-watch?${query}`;
             const result = await call("watch", watchResponse, { method: "GET", path }, waitMs + options.timeoutMs);
-            return result.map(value => ({ changed: value.events.length > 0, revision: value.current_rev }));
+            return result.map(value => ({
+                items: value.events.flatMap(event => ("tombstone" in event ? [] : [decodeItem(event)])),
+                revision: value.current_rev,
+            }));
         },
         async change(change) {
             const body = {
@@ -151,13 +184,6 @@
             });
             return result.map(() => undefined);
         },
-        async revoke(lease) {
-            const result = await call("end", ignoredResponse, {
-                method: "DELETE",
-                path: `${basePath}/kv-lease-end/${lease}`,
-            });
-            return result.map(() => undefined);
-        },
         close: () => agent.destroy(),
     };
 }
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -10,7 +10,17 @@
     /** The key or lease does not exist, or the history asked for is no longer kept. */
     | { readonly kind: "missing" }
     /** No reply arrived: the call may have taken effect, or may still do so. */
-    | { readonly kind: "unanswered"; readonly message: string };
+    | { readonly kind: "unanswered"; readonly message: string }
+    /** The store came back from an older copy of its data, before or while it handled the call. */
+    | { readonly kind: "restored"; readonly message: string };
+
+/** The newest era of the store: it rises each time the store comes back from an older copy of its data. */
+export interface Era {
+    /** The newest known era; undefined until the store has responded. */
+    current(): number | undefined;
+    /** Called with the era of each response, errors included. */
+    observe(era: number): void;
+}
 
 /** A stored key and value. */
 export interface Item {
@@ -38,24 +48,22 @@
 /** Promise of a call's result or error. */
 export type Outcome<T> = Promise<neverthrow.Result<T, StoreError>>;
 
-/** Client of the store. */
+/** Client of the store. A result of any call holds for the era that was current when the call was made. */
 export interface Store {
     /** Reads one item, and the store revision at which it was read. */
     read(key: string): Outcome<{ readonly item: Item; readonly revision: number }>;
     /** Reads all items whose keys have the prefix, page by page. */
     range(prefix: string): Outcome<Range>;
-    /** Waits up to `waitMs` for a change under the prefix; resolves to the revision to pass as `after` next time. */
-    watch(
-        prefix: string,
-        after: number,
-        waitMs: number,
-    ): Outcome<{ readonly changed: boolean; readonly revision: number }>;
+    /**
+     * Waits up to `waitMs` for a change under the prefix. Resolves to the items that were written since, and to the
+     * revision to pass as `after` next time.
+     */
+    watch(prefix: string, after: number, waitMs: number): Outcome<Range>;
     /** Applies a transaction; resolves to its revision. */
     change(change: Change): Outcome<number>;
     /** Creates a lease; resolves to its id and the time to live that the store granted. */
     grant(ttlMs: number): Outcome<{ readonly lease: number; readonly ttlMs: number }>;
     renew(lease: number): Outcome<void>;
-    revoke(lease: number): Outcome<void>;
     close(): void;
 }
 
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -5,13 +5,14 @@
 import * as directories from "../core/directory.js";
 import * as leaderships from "../core/leadership.js";
 import * as limiters from "../core/limiter.js";
+import * as storeEras from "../core/storeera.js";
 import * as lifecycles from "../daemon/lifecycle.js";
 import type * as caller from "../ports/caller.js";
-import type * as connections from "../ports/connection.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
 import * as activities from "./activity.js";
+import * as callerDrain from "./callerdrain.js";
 import * as clusterViews from "./clusterview.js";
 import * as coordinators from "./coordinator.js";
 import * as eventLogs from "./events.js";
@@ -22,40 +23,21 @@
 import * as metricsRegistry from "./metrics.js";
 import * as peerHandlers from "./peerhandlers.js";
 import * as gossip from "./peers.js";
+import type * as platforms from "./platform.js";
 import * as probers from "./prober.js";
 import * as replacers from "./replacement.js";
+import * as restorers from "./restoration.js";
 import type * as settingsFile from "./settings.js";
 import * as storeSyncs from "./storesync.js";
 import * as transactions from "./transactions.js";
 
-/** Listener for callers. */
-export interface CallerListener {
-    /** Number of open connections. */
-    count(): number;
-    /** Number of connections with a request in progress or a transaction open. */
-    busy(): number;
-    /** Closes the connections that are not busy. */
-    closeIdle(): void;
-    close(): void;
-}
-
-/** Implementations of the ports for one platform. */
-export interface Platform {
-    readonly store: store.Store;
-    readonly promotions: store.Promotions;
-    readonly dialer: connections.Dialer;
-    readonly storeLayout: storeSyncs.StoreLayout;
-    listenCallers(login: caller.Login): Promise<CallerListener>;
-    listenReadiness(ready: () => boolean): Promise<{ close(): void }>;
-}
-
 /** What the host needs from its process. */
 export interface Environment {
     readonly settings: settingsFile.Settings;
     readonly clock: runtime.HostClock;
     readonly log: runtime.Log;
-    /** Creates the platform, which reports the result of every call to `count`. */
-    platform(count: (kind: string, result: string) => void): Platform;
+    /** Creates the platform, which reports the result of every call to `count`, and the era of the store to `era`. */
+    platform(count: (kind: string, result: string) => void, era: store.Era): platforms.Platform;
     random(): number;
     /** Identifies this process; a restarted host has another value. */
     readonly incarnation: string;
@@ -88,11 +70,6 @@
 const singleHostTimeoutMs = 2_000;
 const activityReportIntervalMs = 5_000;
 const peerRefreshIntervalMs = 1_000;
-/** Time until the platform stops routing callers to a host that is not ready: two failed readiness checks. */
-const rotationTimeoutMs = 2_300;
-const drainPollIntervalMs = 50;
-/** Part of the shutdown time that is reserved for closing and writing the last log lines. */
-const exitMarginMs = 700;
 
 const id = {
     clock: Symbol.for("clock"),
@@ -125,7 +102,7 @@
         incarnation: environment.incarnation,
         leaving: false,
     };
-    let callers: CallerListener | undefined;
+    let callers: callerDrain.CallerListener | undefined;
     let stopping = false;
     let refusesLogins = false;
     let wasReady = false;
@@ -133,6 +110,14 @@
     let peerServer: grpc.Server | undefined;
     let readiness: { close(): void } | undefined;
     let metricsServer: { close(): void } | undefined;
+    const era = storeEras.createStoreEra({
+        now: clock.now,
+        onRestored(next, previous) {
+            events().emit("storeRestored", { era: next, previous });
+            metrics().countStoreRestoration();
+            clusterView().storeRestored();
+        },
+    });
 
     const activity = activities.createActivityCounter(
         clock.now(),
@@ -143,7 +128,7 @@
     container.bind(id.events).toConstantValue(eventLogs.createEventLog(log, clock));
     container.bind(id.metrics).toDynamicValue(() => metricsRegistry.createMetrics(gauges)).inSingletonScope();
     container.bind(id.platform).toDynamicValue(() =>
-        environment.platform((kind, result) => metrics().countPlatformCall(kind, result))
+        environment.platform((kind, result) => metrics().countPlatformCall(kind, result), era)
     ).inSingletonScope();
     container.bind(id.network).toDynamicValue(() => grpc.createNetwork()).inSingletonScope();
     container.bind(id.leadership).toConstantValue(
@@ -167,6 +152,7 @@
         storeSyncs.createStoreSync({
             self: () => self,
             store: platform().store,
+            era,
             layout: platform().storeLayout,
             directory: directory(),
             clock,
@@ -177,7 +163,7 @@
             pollRank: () => clusterView().pollRank(),
             watchesConfiguration: () => clusterView().watchesConfiguration(),
             hasSuspectedHosts: () => peers().usageReports().suspectedHosts > 0,
-            holdsFailoverLock: () => container.get<coordinators.HeldLock>(id.failoverLock).fencingToken() !== undefined,
+            holdsFailoverLock: () => failoverLock().fencingToken() !== undefined,
             onSnapshot: (snapshot, sentMs) => clusterView().applyStoreContents(snapshot, sentMs),
             onChange: () => clusterView().configurationChanged(),
         })
@@ -187,12 +173,14 @@
             ...settings,
             regionByFailureDomain: settings.failureDomains,
             clock,
+            era,
             handoverGraceMs,
             events: events(),
             leadership: leadership(),
             directory: directory(),
             limiter: limiter(),
             dialer: platform().dialer,
+            random: environment.random,
             self: () => self,
             peers,
             storeSync,
@@ -215,7 +203,6 @@
             promotions: platform().promotions,
             leadership: leadership(),
             maxProofAgeMs,
-            fencingToken: () => container.get<coordinators.HeldLock>(id.failoverLock).fencingToken(),
             applyRecord: record => clusterView().applyRecord(record),
             applyAndFence: record => clusterView().applyAndFence(record),
         })
@@ -224,8 +211,12 @@
         coordinators.createFailoverCoordinator({
             ...failoverOptions(),
             self,
-            lock: container.get<coordinators.HeldLock>(id.failoverLock),
+            lock: failoverLock(),
             replacer: container.get<replacers.Replacer>(id.replacer),
+            restorer: restorers.createRestorer({
+                ...failoverOptions(),
+                leadership: leadership(),
+            }),
             groups: () => clusterView().groups(),
         })
     ).inSingletonScope();
@@ -246,30 +237,25 @@
 
     const events = (): eventLogs.EventLog => container.get(id.events);
     const metrics = (): metricsRegistry.Metrics => container.get(id.metrics);
-    const platform = (): Platform => container.get(id.platform);
+    const platform = (): platforms.Platform => container.get(id.platform);
     const leadership = (): leaderships.Leadership => container.get(id.leadership);
     const directory = (): directories.Directory => container.get(id.directory);
     const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
+    const failoverLock = (): coordinators.HeldLock => container.get(id.failoverLock);
     const storeSync = (): storeSyncs.StoreSync => container.get(id.storeSync);
     const coordinator = (): coordinators.FailoverCoordinator => container.get(id.coordinator);
     const clusterView = (): clusterViews.ClusterView => container.get(id.clusterView);
-    const createPeerHandlers = () =>
-        peerHandlers.createHandlers({
-            clock,
-            peers: peers(),
-            clusterView: clusterView(),
-            storeSync: storeSync(),
-            directory: directory(),
-        });
     /** Options that the failover coordinator and the replacer have in common. */
     const failoverOptions = () => ({
         clock,
+        era,
         events: events(),
         store: platform().store,
         storeSync: storeSync(),
         peers: peers(),
         prober: container.get<probers.Prober>(id.prober),
+        fencingToken: () => failoverLock().fencingToken(),
         endpoints: (group: string) => directory().inGroup(group),
     });
 
@@ -281,8 +267,9 @@
             connectionsByEndpoint: merge(group => group.connectionsByEndpoint()),
             callers: callers?.count() ?? 0,
             configurationVersion: storeSync().policy().version,
+            storeEra: era.current(),
             proofAgeMs: leadership().proofAgeMs(clock.now()),
-            holdsFailoverLock: container.get<coordinators.HeldLock>(id.failoverLock).fencingToken() !== undefined,
+            holdsFailoverLock: failoverLock().fencingToken() !== undefined,
         };
     }
 
@@ -305,28 +292,17 @@
         }
     }
 
-    async function drainCallers(): Promise<void> {
-        const startMs = clock.now();
-        const drainDeadlineMs = startMs + settings.graceMs - exitMarginMs;
-        stopping = true;
-        self = { ...self, leaving: true };
-        reportReadiness();
-        await clock.sleep(Math.min(rotationTimeoutMs, settings.graceMs / 3));
-        refusesLogins = true;
-        while (clock.now() < drainDeadlineMs) {
-            callers?.closeIdle();
-            const halfGraceMs = startMs + settings.graceMs / 2;
-            if ((callers?.count() ?? 0) === 0 || (clock.now() >= halfGraceMs && (callers?.busy() ?? 0) === 0)) {
-                break;
-            }
-            await clock.sleep(drainPollIntervalMs);
-        }
-    }
-
     lifecycle.add({
         name: "peers",
         async start() {
-            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, createPeerHandlers());
+            const parts = {
+                clock,
+                peers: peers(),
+                clusterView: clusterView(),
+                storeSync: storeSync(),
+                directory: directory(),
+            };
+            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, peerHandlers.createHandlers(parts));
             peers().start();
         },
         async close() {
@@ -341,7 +317,12 @@
         drain: () => storeSync().deregister(),
         close: () => storeSync().close(),
     });
-    lifecycle.add({ name: "failover", start: () => coordinator().start(), close: () => coordinator().close() });
+    lifecycle.add({
+        name: "failover",
+        start: () => coordinator().start(),
+        drain: () => coordinator().release(),
+        close: () => coordinator().close(),
+    });
     lifecycle.add({
         name: "periodic tasks",
         start() {
@@ -372,7 +353,20 @@
             callers = await platform().listenCallers(container.get<caller.Login>(id.login));
             metricsServer = await metricsRegistry.listen(settings.callers.host, settings.metricsPort, metrics());
         },
-        drain: drainCallers,
+        drain: () =>
+            callerDrain.drain({
+                clock,
+                graceMs: settings.graceMs,
+                callers: () => callers,
+                onStart() {
+                    stopping = true;
+                    self = { ...self, leaving: true };
+                    reportReadiness();
+                },
+                refuseLogins() {
+                    refusesLogins = true;
+                },
+            }),
         close() {
             callers?.close();
             clusterView().groups().forEach(group => group.close());
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -10,6 +10,8 @@
 import * as suspensions from "../core/suspension.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
+import type * as store from "../ports/store.js";
+import * as configurationTransfer from "./configurationtransfer.js";
 import type * as coordinators from "./coordinator.js";
 import type * as eventLogs from "./events.js";
 import * as fleets from "./fleet.js";
@@ -25,6 +27,7 @@
     /** Region of each failure domain. */
     readonly regionByFailureDomain: Readonly<Record<string, string>>;
     readonly clock: runtime.HostClock;
+    readonly era: store.Era;
     /** Time that running work gets to finish on a primary that is being replaced, in milliseconds. */
     readonly handoverGraceMs: number;
     readonly events: eventLogs.EventLog;
@@ -32,6 +35,8 @@
     readonly directory: directories.Directory;
     readonly limiter: limiters.Limiter;
     readonly dialer: connections.Dialer;
+    /** A random number in [0, 1). */
+    random(): number;
     self(): messages.Member;
     peers(): gossip.Peers;
     storeSync(): storeSyncs.StoreSync;
@@ -56,6 +61,8 @@
     applyRecord(record: leaderships.Record): void;
     /** Applies a record. If it replaces a primary, resolves once no work on the old primary can be acknowledged. */
     applyAndFence(record: leaderships.Record): Promise<void>;
+    /** Drops what rested on the previous era of the store, after it came back from an older copy. */
+    storeRestored(): void;
     /** Applies the proxy's own keys in the store, as read by a request sent at that time. */
     applyStoreContents(snapshot: registry.Snapshot, requestedAtMs: number): void;
     /** The digest of this host, to be sent to others. */
@@ -67,7 +74,7 @@
     mergeDigest(digest: messages.Digest, requestedAtMs: number | undefined): void;
     /** Re-evaluates whether the records of primaries can be trusted, and logs a change. */
     evaluateProof(): void;
-    /** Fetches the configuration and the endpoints from another host if the endpoint listing is too old. */
+    /** Fetches the endpoints from another host if the endpoint listing is too old. */
     refreshFromPeer(): void;
     /** The newest endpoint listing that a live peer has announced. */
     newestPeerListing(): messages.EndpointListing | undefined;
@@ -79,7 +86,7 @@
 
 /** Age of the endpoint listing from which another host is asked for a newer one. */
 const maxListingAgeMs = 2_500;
-/** Time limit for another host to send its configuration and endpoints. */
+/** Time limit for another host to send its endpoints. */
 const catalogueTimeoutMs = 1_000;
 /** Age of a host's last store response up to which the host is a candidate for polling the store. */
 const maxStoreResponseAgeMs = 2_500;
@@ -108,7 +115,20 @@
     const allocator = connectionShares.createAllocator();
     let lastClockJumpMs = -Infinity;
     let wasTrusted = false;
-    let fetchingCatalogue = false;
+    let fetchingEndpoints = false;
+    const configurationFetcher = configurationTransfer.createFetcher({
+        clock,
+        events,
+        peers,
+        random: options.random,
+        version: () => storeSync().policy().version,
+        source() {
+            const source = fleets.chooseConfigurationSource(peers().live());
+            const version = source?.digest?.configurationVersion ?? 0;
+            return version > storeSync().policy().version ? source : undefined;
+        },
+        offer: text => storeSync().offerConfiguration(text),
+    });
 
     function checkSuspension(): void {
         const nowMs = clock.now();
@@ -198,7 +218,7 @@
         // A failover coordinator asks only the registered hosts for confirmation, so only those may renew their proof.
         const self = options.self();
         const isRegistered = snapshot.hosts.some(host => host.id === self.id && host.incarnation === self.incarnation);
-        if (isRegistered && noClockJumpSince(requestedAtMs)) {
+        if (isRegistered && snapshot.settled && noClockJumpSince(requestedAtMs)) {
             leadership.renewProof(requestedAtMs);
         }
         peers().register(snapshot.hosts);
@@ -238,6 +258,7 @@
         const proofAgeMs = leadership.proofAgeMs(nowMs);
         return {
             configurationVersion: storeSync().policy().version,
+            storeEra: options.era.current(),
             primaryRecords: leadership.all(),
             proofAgeMs: wholeMs(proofAgeMs),
             storeResponseAgeMs: wholeMs(storeSync().storeResponseAgeMs()),
@@ -267,40 +288,49 @@
         };
     }
 
+    function storeRestored(): void {
+        // The coordinator goes first: whether it held the lock depends on the registration that is dropped next.
+        coordinator().storeRestored();
+        storeSync().storeRestored();
+        directory.storeRestored(clock.now());
+        leadership.dropProof();
+        evaluateProof();
+    }
+
     function mergeDigest(digest: messages.Digest, requestedAtMs: number | undefined): void {
         checkSuspension();
+        if (digest.storeEra !== undefined) {
+            options.era.observe(digest.storeEra);
+        }
         digest.primaryRecords.forEach(applyRecord);
         if (requestedAtMs !== undefined && noClockJumpSince(requestedAtMs)) {
             digest.positionSamples.forEach(sample =>
                 groups.get(sample.group)?.addSample(sample.position, requestedAtMs - sample.ageMs)
             );
-            if (digest.proofAgeMs !== undefined) {
+            if (digest.proofAgeMs !== undefined && digest.storeEra === options.era.current()) {
                 leadership.renewProof(requestedAtMs - digest.proofAgeMs);
             }
         }
         evaluateProof();
         if (digest.configurationVersion > storeSync().policy().version) {
-            void fetchCatalogue();
+            void configurationFetcher.fetch();
         }
     }
 
-    /** Fetches the configuration and the endpoints from the live peer that is most up to date. */
-    async function fetchCatalogue(): Promise<void> {
+    /** Fetches the endpoints from the live peer that is most up to date. */
+    async function fetchEndpoints(): Promise<void> {
         const source = fleets.chooseConfigurationSource(peers().live());
-        if (fetchingCatalogue || source === undefined) {
+        if (fetchingEndpoints || source === undefined) {
             return;
         }
-        fetchingCatalogue = true;
+        fetchingEndpoints = true;
         const requestedAtMs = clock.now();
         const reply = await peers().call(source.member, messages.peer.catalogue, {}, catalogueTimeoutMs);
-        fetchingCatalogue = false;
+        fetchingEndpoints = false;
         if (reply.isErr()) {
             events.emit("catalogueMissed", { peer: source.member.id, reason: reply.error.message });
             return;
         }
-        if (reply.value.version > storeSync().policy().version) {
-            storeSync().offerConfiguration(reply.value.configuration);
-        }
         if (reply.value.ageMs !== undefined) {
             storeSync().offerEndpoints(reply.value.endpoints, requestedAtMs - reply.value.ageMs);
         }
@@ -325,6 +355,7 @@
         localDigest,
         mergeDigest,
         evaluateProof,
+        storeRestored,
         groups: () => [...groups.values()],
         newestPeerListing() {
             const listings = peers().live().flatMap(peer => {
@@ -343,7 +374,7 @@
         refreshFromPeer() {
             const listedAtMs = storeSync().listedAtMs();
             if (listedAtMs === undefined || clock.now() - listedAtMs > maxListingAgeMs) {
-                void fetchCatalogue();
+                void fetchEndpoints();
             }
         },
     };
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -5,6 +5,7 @@
 import type * as directory from "../core/directory.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
+import * as storeEras from "../core/storeera.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
 import type * as events from "./events.js";
@@ -12,8 +13,10 @@
 import type * as messages from "./messages.js";
 import type * as peers from "./peers.js";
 import type * as probers from "./prober.js";
+import * as registration from "./registration.js";
 import * as registry from "./registry.js";
 import type * as replacement from "./replacement.js";
+import type * as restoration from "./restoration.js";
 import type * as storeSyncs from "./storesync.js";
 
 /** Settings of the failover coordinator. */
@@ -22,10 +25,12 @@
     readonly clock: runtime.HostClock;
     readonly events: events.EventLog;
     readonly store: store.Store;
+    readonly era: storeEras.StoreEra;
     readonly storeSync: storeSyncs.StoreSync;
     readonly peers: peers.Peers;
     readonly prober: probers.Prober;
     readonly replacer: replacement.Replacer;
+    readonly restorer: restoration.Restorer;
     readonly lock: HeldLock;
     groups(): readonly groups.Group[];
     endpoints(group: string): readonly directory.Endpoint[];
@@ -35,7 +40,11 @@
 export interface FailoverCoordinator {
     /** Applies a snapshot of the store: the records, and who holds the failover lock. */
     observe(snapshot: registry.Snapshot): void;
+    /** Gives up the lock, which was held in the previous era of the store. */
+    storeRestored(): void;
     start(): void;
+    /** Deletes the lock from the store if this host holds it, so that another one can acquire it at once. */
+    release(): Promise<void>;
     close(): void;
 }
 
@@ -66,6 +75,8 @@
 const rankDelayMs = 200;
 /** Pause after a failed attempt to replace a primary. */
 const retryPauseMs = 250;
+/** Time for attempts under way to end before the lock is released; otherwise it expires with the lease. */
+const releaseTimeoutMs = 1_000;
 /** Time after a replacement during which another one for partial unreachability is suppressed. */
 const partialReplacementHoldOffMs = 3_000;
 
@@ -82,9 +93,14 @@
 export function createFailoverCoordinator(options: Options): FailoverCoordinator {
     const { clock, events, self, store: client, replacer, lock } = options;
     const states = new Map<string, GroupState>();
+    const attempts = new Set<Promise<boolean>>();
     let lockFreeSinceMs: number | undefined;
     let acquiring = false;
     let heldToken: number | undefined;
+    /** True if this host held the lock of the previous era when it learned of the current one. */
+    let heldInPreviousEra = false;
+    let settled = false;
+    let restoring = false;
     let lastTickMs = -Infinity;
     let stop: (() => void) | undefined;
 
@@ -155,7 +171,10 @@
     async function attempt(group: groups.Group, task: () => Promise<boolean>): Promise<void> {
         const state = stateOf(group.name);
         state.replacing = true;
-        const done = await task();
+        const running = task();
+        attempts.add(running);
+        const done = await running;
+        attempts.delete(running);
         state.replacing = false;
         state.demoted = false;
         if (!done) {
@@ -185,25 +204,53 @@
         }
     }
 
+    /**
+     * In an era that isn't settled, the holder of the previous era's lock may not know yet that it has lost it. Its lease
+     * has expired when the era has been known for the lease's time to live.
+     */
+    function mayAcquire(): boolean {
+        const leaseExpired = options.era.ageMs() >= registration.leaseTtlMs;
+        const delayMs = heldInPreviousEra ? 0 : rank() * rankDelayMs;
+        return lockFreeSinceMs !== undefined && clock.now() - lockFreeSinceMs >= delayMs
+            && (settled || heldInPreviousEra || leaseExpired);
+    }
+
     async function acquireLock(): Promise<void> {
         const lease = options.storeSync.leaseId();
-        if (acquiring || lease === undefined) {
+        const era = options.era.current();
+        if (acquiring || lease === undefined || era === undefined) {
             return;
         }
         acquiring = true;
+        const key = registry.failoverLockKey(era);
         const value = JSON.stringify({ holder: self.id, incarnation: self.incarnation });
         const acquired = await client.change({
-            conditions: [{ key: registry.failoverLockKey, revision: 0 }],
-            writes: [{ key: registry.failoverLockKey, value, lease }],
+            conditions: [{ key, revision: 0 }],
+            writes: [{ key, value, lease }],
             deletes: [],
         });
         if (acquired.isOk()) {
-            setHeld(acquired.value);
+            setHeld(storeEras.order(era, acquired.value));
         }
         // Without a response, the next snapshot shows whether the lock was acquired.
         acquiring = false;
     }
 
+    /** Writes the records of earlier eras again; until that is done, no primary is replaced. */
+    async function restore(): Promise<void> {
+        if (restoring) {
+            return;
+        }
+        restoring = true;
+        if (await options.restorer.restore()) {
+            await options.storeSync.refresh();
+        }
+        else {
+            await clock.sleep(retryPauseMs);
+        }
+        restoring = false;
+    }
+
     function setHeld(next: number): void {
         if (heldToken !== next) {
             heldToken = next;
@@ -216,12 +263,16 @@
         const nowMs = clock.now();
         const paused = nowMs - lastTickMs > pauseThresholdMs;
         lastTickMs = nowMs;
-        if (lockFreeSinceMs !== undefined && nowMs - lockFreeSinceMs >= rank() * rankDelayMs) {
+        if (mayAcquire()) {
             void acquireLock();
         }
         if (lock.fencingToken() === undefined || paused) {
             return;
         }
+        if (!settled) {
+            void restore();
+            return;
+        }
         options.groups().forEach(supervise);
     }
 
@@ -235,6 +286,7 @@
         observe(snapshot) {
             replacer.observe(snapshot.records);
             const { failoverLock } = snapshot;
+            settled = snapshot.settled;
             if (failoverLock === undefined) {
                 lockFreeSinceMs ??= clock.now();
             }
@@ -251,9 +303,30 @@
                 events.emit("dutyLost", { holder: failoverLock?.holder });
             }
         },
+        storeRestored() {
+            heldInPreviousEra = lock.fencingToken() !== undefined;
+            heldToken = undefined;
+            lock.set(undefined);
+            lockFreeSinceMs = undefined;
+            settled = false;
+            replacer.storeRestored();
+        },
         start() {
             stop = clock.every(probeIntervalMs, tick);
         },
+        async release() {
+            const [era, token] = [options.era.current(), lock.fencingToken()];
+            lock.set(undefined);
+            stop?.();
+            // An attempt that is under way ends before its next call, as the token is gone.
+            await Promise.race([Promise.all(attempts), clock.sleep(releaseTimeoutMs)]);
+            if (era !== undefined && token !== undefined && attempts.size === 0) {
+                const key = registry.failoverLockKey(era);
+                const conditions = [{ key, revision: storeEras.numberOf(token) }];
+                const released = await client.change({ conditions, writes: [], deletes: [key] });
+                events.emit("dutyLost", { holder: undefined, released: released.isOk() });
+            }
+        },
         close() {
             stop?.();
             lock.set(undefined);
--- a/src/proxy/digestcodec.test.ts
+++ b/src/proxy/digestcodec.test.ts
@@ -28,6 +28,7 @@
 const digest: fc.Arbitrary<messages.Digest> = fc.record({
     self: fc.boolean().map(leaving => ({ ...self, leaving })),
     configurationVersion: fc.nat(3),
+    storeEra: fc.option(fc.nat(3), { nil: undefined }),
     primaryRecords: fc.uniqueArray(name, { maxLength: 3 }).map(groups =>
         groups.map(group => ({ group, epoch: 1, changing: false, primary: "i-1", term: 2 }))
     ),
@@ -115,6 +116,7 @@
         const empty: messages.DigestHeader = {
             self,
             version: 0,
+            era: -1,
             tenures: [],
             known: [],
             organisations: [],
--- a/src/proxy/digestcodec.ts
+++ b/src/proxy/digestcodec.ts
@@ -111,6 +111,7 @@
             const header: messages.DigestHeader = {
                 self: digest.self,
                 version: digest.configurationVersion,
+                era: digest.storeEra ?? absent,
                 tenures: digest.primaryRecords,
                 known: digest.knownMembers,
                 organisations: organisations.all(),
@@ -188,6 +189,7 @@
     return {
         self: header.self,
         configurationVersion: header.version,
+        storeEra: header.era < 0 ? undefined : header.era,
         primaryRecords: header.tenures,
         knownMembers: header.known,
         proofAgeMs: decodeAge(proofAgeMs),
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -28,6 +28,8 @@
     suspended: { ...problem, message: "Clock jump or suspension detected; ages measured before it are discarded." },
     storeLost: { ...problem, message: "The store does not respond." },
     storeRegained: { ...stateChange, message: "The store responds again." },
+    storeRestored: { ...problem, message: "The store came back from an older copy; what rested on it is dropped." },
+    recordsRestored: { ...stateChange, message: "The records of primaries are stored again in the store's new era." },
     peerLost: { ...problem, message: "A host does not respond." },
     catalogueMissed: { ...problem, message: "Fetching the configuration and endpoints from another host failed." },
     peerRegained: { ...stateChange, message: "A host responds." },
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -119,6 +119,7 @@
             random,
             localDigest: () => ({
                 configurationVersion: 1,
+                storeEra: undefined,
                 primaryRecords: [],
                 proofAgeMs: fleet.proofAgeMs(host),
                 storeResponseAgeMs: undefined,
@@ -145,6 +146,7 @@
         digest: {
             self: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false },
             configurationVersion,
+            storeEra: undefined,
             primaryRecords: [],
             proofAgeMs: undefined,
             storeResponseAgeMs: undefined,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -43,7 +43,7 @@
         settings: settings.value,
         clock: createClock(),
         log,
-        platform: count => platform.create(settings.value, log, count),
+        platform: (count, era) => platform.create(settings.value, log, count, era),
         random: Math.random,
         incarnation: `${process.pid}-${process.hrtime.bigint()}`,
     });
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -25,6 +25,8 @@
     readonly self: Member;
     /** Version of the configuration in force. */
     readonly configurationVersion: number;
+    /** The newest era of the store that the host knows; undefined if none. */
+    readonly storeEra: number | undefined;
     readonly primaryRecords: readonly leadership.Record[];
     /** Age of the proof that the records are in force; undefined without a proof. */
     readonly proofAgeMs: number | undefined;
@@ -90,6 +92,8 @@
     self: member,
     /** Version of the configuration in force. */
     version: z.number(),
+    /** The newest era of the store that the sender knows; -1 if none. */
+    era: z.number(),
     /** Records of the groups' primaries. */
     tenures: z.array(leadership.schema).readonly(),
     /** Every host that the sender knows. */
@@ -145,10 +149,22 @@
     draining: z.boolean(),
     primary: z.boolean(),
     born: z.number(),
+    sequence: z.number(),
 }).readonly();
 
 const empty = z.object({}).readonly();
 
+const configurationPart = z.object({
+    version: z.number(),
+    /** Size of the whole compressed text. */
+    sizeBytes: z.number(),
+    /** Hash of the whole compressed text. */
+    hash: z.string(),
+    bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array),
+}).readonly();
+/** A part of a host's configuration, compressed by gzip. */
+export type ConfigurationPart = z.infer<typeof configurationPart>;
+
 function method<Request, Reply>(
     name: string,
     request: z.ZodType<Request>,
@@ -163,13 +179,17 @@
     exchange: method("exchange", encodedDigest, encodedDigest),
     /** Applies the record of a group's primary. The reply confirms that the host no longer relies on an older one. */
     record: method("record", leadership.schema, empty),
-    /** Returns the configuration as stored, and the endpoints, to a host that can't read the store. */
+    /** Returns the part of the compressed configuration that begins at the offset. */
+    configuration: method(
+        "configuration",
+        z.object({ offset: z.number().int().min(0) }).readonly(),
+        configurationPart,
+    ),
+    /** Returns the endpoints to a host that can't read the store. */
     catalogue: method(
         "catalogue",
         empty,
         z.object({
-            version: z.number(),
-            configuration: z.string(),
             endpoints: z.array(endpoint).readonly(),
             /** Age of the endpoint listing, in milliseconds; absent if there is none. */
             ageMs: z.number().optional(),
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -13,6 +13,8 @@
     /** Open connections of callers. */
     readonly callers: number;
     readonly configurationVersion: number;
+    /** The newest known era of the store; undefined if none. */
+    readonly storeEra: number | undefined;
     /** Age of the proof that the records of primaries are current; infinite without one. */
     readonly proofAgeMs: number;
     readonly holdsFailoverLock: boolean;
@@ -22,6 +24,8 @@
 export interface Metrics extends sessions.RequestMetrics {
     /** Counts a call to the platform. */
     countPlatformCall(kind: string, result: string): void;
+    /** Counts that the store came back from an older copy. */
+    countStoreRestoration(): void;
     /** All metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -64,10 +68,16 @@
         labelNames: ["kind", "result"],
         registers,
     });
+    const restorations = new prometheus.Counter({
+        name: "hyssophatch_store_restorations_total",
+        help: "Times that the store came back from an older copy of its data.",
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const callers = gauge("hyssophatch_callers", "Connections of callers.", []);
     const version = gauge("hyssophatch_configuration_version", "Version of the configuration in force.", []);
+    const storeEra = gauge("hyssophatch_store_era", "Era of the store: rises when it comes back from a copy.", []);
     const proof = gauge("hyssophatch_record_proof_age_seconds", "Age of the proof of the records.", []);
     const failoverLock = gauge("hyssophatch_promotion_duty", "1 on the host that replaces primaries.", []);
 
@@ -86,6 +96,7 @@
             latency.observe({ database, outcome: "refused" }, elapsedMs / 1_000);
         },
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
+        countStoreRestoration: () => restorations.inc(),
         render() {
             const gauges = readGauges();
             load.reset();
@@ -94,6 +105,7 @@
             Object.entries(gauges.connectionsByEndpoint).forEach(([endpoint, value]) => open.set({ endpoint }, value));
             callers.set(gauges.callers);
             version.set(gauges.configurationVersion);
+            storeEra.set(gauges.storeEra ?? 0);
             proof.set(Math.min(gauges.proofAgeMs, Number.MAX_SAFE_INTEGER) / 1_000);
             failoverLock.set(gauges.holdsFailoverLock ? 1 : 0);
             return registry.metrics();
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -5,6 +5,7 @@
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as clusterViews from "./clusterview.js";
+import * as configurationTransfer from "./configurationtransfer.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 import type * as storeSyncs from "./storesync.js";
@@ -21,18 +22,20 @@
 /** Creates the handlers of all calls between hosts: digests, records of primaries, configuration and endpoints. */
 export function createHandlers(options: Options): readonly network.Handler[] {
     const { clock, peers, clusterView, storeSync, directory } = options;
+    const configurationSource = configurationTransfer.createSource(storeSync.configuration);
     return [
         grpc.handle(messages.peer.exchange, async digest => neverthrow.ok(peers.handleExchange(digest))),
         grpc.handle(messages.peer.record, async record => {
             await clusterView.applyAndFence(record);
             return neverthrow.ok({});
         }),
+        grpc.handle(
+            messages.peer.configuration,
+            async ({ offset }) => neverthrow.ok(configurationSource.part(offset)),
+        ),
         grpc.handle(messages.peer.catalogue, async () => {
-            const { version, text } = storeSync.configuration();
             const listedAtMs = storeSync.listedAtMs();
             return neverthrow.ok({
-                version,
-                configuration: text,
                 endpoints: directory.all(),
                 ageMs: listedAtMs === undefined ? undefined : clock.now() - listedAtMs,
             });
--- a/src/proxy/peers.test.ts
+++ b/src/proxy/peers.test.ts
@@ -19,6 +19,7 @@
 
 const emptyDigest: fleets.LocalDigest = {
     configurationVersion: 1,
+    storeEra: undefined,
     primaryRecords: [],
     proofAgeMs: undefined,
     storeResponseAgeMs: undefined,
--- a/src/proxy/prober.test.ts
+++ b/src/proxy/prober.test.ts
@@ -23,6 +23,7 @@
             draining: false,
             primary: true,
             born: 1,
+            sequence: 1,
         };
         chai.expect(await prober.send(listed, { kind: "status" })).to.equal("busy");
         await endpoint.crash();
--- a/src/proxy/registry.ts
+++ b/src/proxy/registry.ts
@@ -2,24 +2,39 @@
 import * as z from "zod";
 import * as decode from "../core/decode.js";
 import * as leadership from "../core/leadership.js";
+import * as storeEra from "../core/storeera.js";
 import type * as store from "../ports/store.js";
 import * as messages from "./messages.js";
 
-/** Prefix of all of this product's keys. */
-export const prefix = "hyssophatch/";
-const hostsPrefix = `${prefix}hosts/`;
-const primariesPrefix = `${prefix}primaries/`;
+/** Prefix of this product's keys of all eras. */
+export const rootPrefix = "hyssophatch/";
+
+/**
+ * Prefix of this product's keys in one era of the store. Because it names the era, a call that was sent in another era
+ * can't change them.
+ */
+export function prefix(era: number): string {
+    return `${rootPrefix}${era}/`;
+}
+
 /** Key of the failover lock, which names the host that replaces primaries. */
-export const failoverLockKey = `${prefix}duty/promotion`;
+export function failoverLockKey(era: number): string {
+    return `${prefix(era)}duty/promotion`;
+}
+
+/** Key that exists once the records of earlier eras have been written again, so that a snapshot can prove them. */
+export function settledKey(era: number): string {
+    return `${prefix(era)}settled`;
+}
 
 /** Key of a host's registration. */
-export function hostKey(id: string): string {
-    return `${hostsPrefix}${id}`;
+export function hostKey(era: number, id: string): string {
+    return `${prefix(era)}hosts/${id}`;
 }
 
 /** Key of the record that names a group's primary. */
-export function recordKey(group: string): string {
-    return `${primariesPrefix}${group}`;
+export function recordKey(era: number, group: string): string {
+    return `${prefix(era)}primaries/${group}`;
 }
 
 const lockSchema = z.object({ holder: z.string(), incarnation: z.string() }).readonly();
@@ -28,7 +43,7 @@
 export interface FailoverLock {
     readonly holder: string;
     readonly incarnation: string;
-    /** Increases each time the lock is acquired. */
+    /** Increases each time the lock is acquired, in whatever era. */
     readonly fencingToken: number;
 }
 
@@ -38,8 +53,11 @@
     readonly revision: number;
 }
 
-/** The parsed contents of the key prefix. */
+/** The parsed contents of one era's key prefix. */
 export interface Snapshot {
+    readonly era: number;
+    /** True once the records of earlier eras have been written again. */
+    readonly settled: boolean;
     readonly hosts: readonly messages.Member[];
     readonly records: readonly StoredRecord[];
     readonly failoverLock: FailoverLock | undefined;
@@ -47,35 +65,61 @@
     readonly corruptKeys: readonly string[];
 }
 
-function parseLock(item: store.Item): FailoverLock | undefined {
+function parseLock(item: store.Item, era: number): FailoverLock | undefined {
     const parsed = decode.json(lockSchema, item.value);
-    return parsed.isOk() ? { ...parsed.value, fencingToken: item.revision } : undefined;
+    return parsed.isOk() ? { ...parsed.value, fencingToken: storeEra.order(era, item.revision) } : undefined;
 }
 
-/** Parses the items below the prefix; an item that can't be parsed is reported in `corruptKeys`. */
-export function parse(items: readonly store.Item[]): Snapshot {
+/** Parses the items below the prefix of an era; an item that can't be parsed is reported in `corruptKeys`. */
+export function parse(era: number, items: readonly store.Item[]): Snapshot {
     const hosts: messages.Member[] = [];
     const records: StoredRecord[] = [];
     const corruptKeys: string[] = [];
     let failoverLock: FailoverLock | undefined;
     for (const item of items) {
-        if (item.key.startsWith(hostsPrefix)) {
+        if (item.key.startsWith(hostKey(era, ""))) {
             const parsed = decode.json(messages.member, item.value);
             parsed.match(value => void hosts.push(value), () => void corruptKeys.push(item.key));
         }
-        else if (item.key.startsWith(primariesPrefix)) {
+        else if (item.key.startsWith(recordKey(era, ""))) {
             const parsed = decode.json(leadership.schema, item.value);
             parsed.match(
                 record => void records.push({ record, revision: item.revision }),
                 () => void corruptKeys.push(item.key),
             );
         }
-        else if (item.key === failoverLockKey) {
-            failoverLock = parseLock(item);
+        else if (item.key === failoverLockKey(era)) {
+            failoverLock = parseLock(item, era);
             if (failoverLock === undefined) {
                 corruptKeys.push(item.key);
             }
         }
     }
-    return { hosts, records, failoverLock, corruptKeys };
+    const settled = items.some(item => item.key === settledKey(era));
+    return { era, settled, hosts, records, failoverLock, corruptKeys };
+}
+
+/** What the keys of earlier eras hold. */
+export interface Remains {
+    readonly records: readonly leadership.Record[];
+    /** Keys that no host uses any longer. */
+    readonly keys: readonly string[];
+    /** True while a host is registered that runs a version without eras in its keys. */
+    readonly hasOldVersion: boolean;
+}
+
+const eraOfKey = /^hyssophatch\/(?:(\d+)\/)?(\w+)/;
+
+/** Parses the keys of the eras before the given one, and those without an era. */
+export function parseRemains(era: number, items: readonly store.Item[]): Remains {
+    const parts = items.map(item => ({ item, match: eraOfKey.exec(item.key) }));
+    const earlier = parts.filter(({ match }) => match?.[1] === undefined || Number(match[1]) < era);
+    return {
+        records: earlier.filter(({ match }) => match?.[2] === "primaries").flatMap(({ item }) => {
+            const parsed = decode.json(leadership.schema, item.value);
+            return parsed.isOk() ? [parsed.value] : [];
+        }),
+        keys: earlier.map(({ item }) => item.key),
+        hasOldVersion: earlier.some(({ match }) => match?.[1] === undefined && match?.[2] === "hosts"),
+    };
 }
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -3,6 +3,7 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
+import * as storeEra from "../core/storeera.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
@@ -21,6 +22,7 @@
     readonly clock: runtime.HostClock;
     readonly events: events.EventLog;
     readonly store: store.Store;
+    readonly era: store.Era;
     readonly promotions: store.Promotions;
     readonly storeSync: storeSyncs.StoreSync;
     readonly peers: peers.Peers;
@@ -41,6 +43,8 @@
 export interface Replacer {
     /** Applies records read from the store. */
     observe(records: readonly registry.StoredRecord[]): void;
+    /** Forgets the stored records, whose revisions mean nothing in a new era of the store. */
+    storeRestored(): void;
     /** The newest known record of a group. */
     record(group: string): leadership.Record | undefined;
     /** Replaces the primary of a group. Resolves to false when the attempt failed and has to be repeated. */
@@ -75,11 +79,16 @@
     const noPrimarySinceMs = new Map<string, number>();
     const replacedAtMs = new Map<string, number>();
 
-    const holdsLock = (): boolean => options.fencingToken() !== undefined;
+    /** True while this host still holds the lock that it held when an attempt began. */
+    const holdsLock = (token: number): boolean => options.fencingToken() === token;
 
     /** Changes a group's record. If the change seems to fail, reads the record back to find out whether it was made. */
-    async function write(record: leadership.Record): Promise<boolean> {
-        const key = registry.recordKey(record.group);
+    async function write(record: leadership.Record, token: number): Promise<boolean> {
+        const era = options.era.current();
+        if (era === undefined || !holdsLock(token)) {
+            return false;
+        }
+        const key = registry.recordKey(era, record.group);
         const current = storedRecords.get(record.group);
         const value = JSON.stringify(record);
         const changed = await client.change({
@@ -92,11 +101,14 @@
             options.applyRecord(record);
             return true;
         }
+        if (options.era.current() !== era) {
+            return false;
+        }
         const read = await client.read(key);
         if (read.isErr()) {
             return false;
         }
-        const snapshot = registry.parse([read.value.item]);
+        const snapshot = registry.parse(era, [read.value.item]);
         snapshot.records.forEach(stored => {
             storedRecords.set(record.group, stored);
             options.applyRecord(stored.record);
@@ -120,7 +132,7 @@
      * Waits until no host relies on the previous record: every peer has confirmed the new one, or every proof of the
      * previous one has expired. False when the new record is no longer in force or the lock is lost.
      */
-    async function fence(record: leadership.Record): Promise<boolean> {
+    async function fence(record: leadership.Record, token: number): Promise<boolean> {
         const writtenAtMs = clock.now();
         const snapshot = await options.storeSync.refresh();
         const [allConfirmed] = await Promise.all([notifyPeers(record), options.applyAndFence(record)]);
@@ -128,7 +140,7 @@
             await clock.sleep(Math.max(0, writtenAtMs + options.maxProofAgeMs - clock.now()));
         }
         const current = leadership.find(record.group);
-        const inForce = holdsLock() && current?.epoch === record.epoch;
+        const inForce = holdsLock(token) && current?.epoch === record.epoch;
         if (inForce) {
             events.emit("primaryFenced", {
                 group: record.group,
@@ -141,10 +153,10 @@
     }
 
     /** Writes the record that ends a replacement, and sends it to the peers. */
-    async function finish(group: string, primary: string, term: number): Promise<boolean> {
-        const epoch = (storedRecords.get(group)?.record.epoch ?? 0) + 1;
+    async function finish(group: string, primary: string, term: number, token: number): Promise<boolean> {
+        const epoch = storeEra.next(storedRecords.get(group)?.record.epoch ?? 0, options.era.current() ?? 0);
         const record = { group, epoch, changing: false, primary, term };
-        if (!await write(record)) {
+        if (!await write(record, token)) {
             return false;
         }
         replacedAtMs.set(group, clock.now());
@@ -162,9 +174,13 @@
     }
 
     /** Waits until a promoted endpoint reports itself as primary. Resolves to its term, or undefined on a time-out. */
-    async function waitForPrimary(endpoint: directory.Endpoint, term: number): Promise<number | undefined> {
+    async function waitForPrimary(
+        endpoint: directory.Endpoint,
+        term: number,
+        token: number,
+    ): Promise<number | undefined> {
         const deadlineMs = clock.now() + promotionTimeoutMs;
-        while (clock.now() < deadlineMs && holdsLock()) {
+        while (clock.now() < deadlineMs && holdsLock(token)) {
             const status = await send(endpoint, { kind: "status" });
             if (status !== undefined && status !== "busy" && status.primary && status.term > term) {
                 return status.term;
@@ -176,7 +192,8 @@
 
     async function replace(group: groups.Group, reason: string): Promise<boolean> {
         const stored = storedRecords.get(group.name);
-        if (stored === undefined) {
+        const token = options.fencingToken();
+        if (stored === undefined || token === undefined) {
             return false;
         }
         const { record: previous } = stored;
@@ -187,7 +204,7 @@
             epoch: previous.epoch,
         });
         const changingRecord = { ...previous, epoch: previous.epoch + 1, changing: true };
-        if (!await write(changingRecord) || !await fence(changingRecord)) {
+        if (!await write(changingRecord, token) || !await fence(changingRecord, token)) {
             return false;
         }
         const endpoints = options.endpoints(group.name);
@@ -199,20 +216,19 @@
         );
         const alreadyPromoted = [...statusById].find(([, status]) => status.primary && status.term > previous.term);
         if (alreadyPromoted !== undefined) {
-            return finish(group.name, alreadyPromoted[0], alreadyPromoted[1].term);
+            return finish(group.name, alreadyPromoted[0], alreadyPromoted[1].term, token);
         }
         const oldStatus = statusById.get(previous.primary);
         const noReplica = ![...statusById.keys()].some(id => id !== previous.primary);
         if (noReplica && oldStatus?.primary === true) {
             // No replica answers, so the primary stays.
-            return finish(group.name, previous.primary, oldStatus.term);
+            return finish(group.name, previous.primary, oldStatus.term, token);
         }
         const term = Math.max(previous.term, ...[...statusById.values()].map(status => status.term));
         const stepDownResult = noReplica ? undefined : stepDown(oldPrimary, term + 1);
         const finalStatus = unreachable ? undefined : await stepDownResult;
         const candidate = noReplica ? oldPrimary : await chooseReplica(group, endpoints, previous.primary, finalStatus);
-        const token = options.fencingToken();
-        if (candidate === undefined || token === undefined) {
+        if (candidate === undefined || !holdsLock(token)) {
             return false;
         }
         // Without a response, the replica may have been promoted all the same, so its status decides.
@@ -220,7 +236,7 @@
         if (promoted.isOk() && !promoted.value) {
             return false;
         }
-        const newTerm = await waitForPrimary(candidate, previous.term);
+        const newTerm = await waitForPrimary(candidate, previous.term, token);
         if (newTerm === undefined) {
             return false;
         }
@@ -230,7 +246,7 @@
             term: newTerm,
             replaced: previous.primary,
         });
-        return finish(group.name, candidate.id, newTerm);
+        return finish(group.name, candidate.id, newTerm, token);
     }
 
     /** Chooses the replica to promote, once it has received the old primary's whole log or the time limit is over. */
@@ -267,6 +283,10 @@
     }
 
     async function createRecord(group: groups.Group): Promise<boolean> {
+        const [era, token] = [options.era.current(), options.fencingToken()];
+        if (era === undefined || token === undefined) {
+            return false;
+        }
         const endpoints = options.endpoints(group.name);
         const statusById = await statuses(endpoints);
         const primaries = [...statusById].filter(([, status]) => status.primary);
@@ -274,7 +294,7 @@
         const primary = primaries[0];
         if (primary !== undefined) {
             noPrimarySinceMs.delete(group.name);
-            return finish(group.name, primary[0], primary[1].term);
+            return finish(group.name, primary[0], primary[1].term, token);
         }
         const sinceMs = noPrimarySinceMs.get(group.name) ?? clock.now();
         noPrimarySinceMs.set(group.name, sinceMs);
@@ -283,14 +303,16 @@
             return false;
         }
         // A record that is marked as changing makes the coordinator promote a replica.
-        const record = { group: group.name, epoch: 1, changing: true, primary: "", term: candidate[1].term };
-        return write(record);
+        const epoch = storeEra.next(0, era);
+        const record = { group: group.name, epoch, changing: true, primary: "", term: candidate[1].term };
+        return write(record, token);
     }
 
     return {
         replace,
         createRecord,
         record: group => storedRecords.get(group)?.record,
+        storeRestored: () => storedRecords.clear(),
         sinceReplacementMs: group => clock.now() - (replacedAtMs.get(group) ?? -Infinity),
         observe: records =>
             records.forEach(stored => {
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -7,6 +7,7 @@
 import type * as store from "../ports/store.js";
 import type * as events from "./events.js";
 import type * as messages from "./messages.js";
+import * as registrations from "./registration.js";
 import * as registry from "./registry.js";
 
 /** Where the platform stores its documents, and how they are parsed; the parsers return an error message on failure. */
@@ -21,6 +22,7 @@
 export interface Options {
     readonly self: () => messages.Member;
     readonly store: store.Store;
+    readonly era: store.Era;
     readonly layout: StoreLayout;
     readonly directory: directory.Directory;
     readonly clock: runtime.HostClock;
@@ -71,8 +73,10 @@
     refresh(): Promise<registry.Snapshot | undefined>;
     /** Treats the lease as expired until it is renewed, because a clock jump made its age unknown. */
     invalidateLease(): void;
+    /** Drops what was granted and read in the previous era of the store, and registers this host again. */
+    storeRestored(): void;
     start(): void;
-    /** Revokes the lease, which deletes this host's registration. */
+    /** Deletes this host's registration. */
     deregister(): Promise<void>;
     close(): void;
 }
@@ -101,20 +105,12 @@
 const listingRankDelayMs = 350;
 /** Time limit of one watch. A new configuration must apply within 3 s, even if a watch misses the change. */
 const watchTimeoutMs = 2_000;
-/** Consecutive watches without a change after which the configuration is read anyway. */
-const maxUnchangedWatches = 2;
-/** Interval at which hosts that don't watch the configuration read it. */
-const unwatchedReadIntervalMs = 10_000;
+/** Time after which the configuration is read although no watch has shown a change. It may be large, so this is rare. */
+const rereadIntervalMs = 30_000;
 /** Mean pause between two syncs of the configuration. */
 const configurationIntervalMs = 250;
 /** Number of hosts that poll the store on behalf of all: one, and two that take over if nothing new arrives from it. */
 export const pollerCount = 3;
-/** Time to live of a host's registration; also the longest time for which a dead host keeps the failover lock. */
-const leaseTtlMs = 2_500;
-const renewIntervalMs = 700;
-/** Subtracted from the lease's time to live, for the transit of the renewal and timer jitter. */
-const leaseMarginMs = 400;
-
 /** Length of the hash of an endpoint listing, in base64 characters. */
 const hashLength = 10;
 
@@ -132,7 +128,6 @@
     let policy = policies.empty;
     let text = "";
     let listedAtMs: number | undefined;
-    let registration: { readonly lease: number; readonly expiresAtMs: number } | undefined;
     let lastFailureMs: number | undefined;
     let lastResponseMs = -Infinity;
     let configurationReadMs = -Infinity;
@@ -141,11 +136,14 @@
     let lastReadMs = -Infinity;
     let storeDown = false;
     let closed = false;
-    let deregistered = false;
     /** Keys of endpoints that were rejected and logged, so that each is logged once. */
     const rejectedKeys = new Set<string>();
 
     function trackAvailability(error: store.StoreError | undefined): void {
+        if (error?.kind === "restored") {
+            lastFailureMs = clock.now();
+            return;
+        }
         if (error !== undefined && (error.kind === "refused" || error.kind === "unanswered")) {
             lastFailureMs = clock.now();
             if (!storeDown) {
@@ -187,13 +185,21 @@
     }
 
     async function refresh(): Promise<registry.Snapshot | undefined> {
+        const era = options.era.current();
+        if (era === undefined) {
+            return undefined;
+        }
         const requestedAtMs = clock.now();
         lastReadMs = requestedAtMs;
-        const response = tracked(await client.range(registry.prefix));
+        const response = tracked(await client.range(registry.prefix(era)));
         if (response.isErr()) {
             return undefined;
         }
-        const snapshot = registry.parse(response.value.items);
+        const snapshot = registry.parse(era, response.value.items);
+        if (!snapshot.settled) {
+            // No host can change a record yet, which is as if the store were away.
+            lastFailureMs = clock.now();
+        }
         snapshot.corruptKeys.forEach(key => events.emit("entryRejected", { key, reason: "unreadable" }));
         options.onSnapshot(snapshot, requestedAtMs);
         return snapshot;
@@ -280,53 +286,33 @@
     async function syncConfiguration(): Promise<void> {
         if (
             !options.watchesConfiguration() && policy.version > 0
-            && clock.now() - configurationReadMs < unwatchedReadIntervalMs
+            && clock.now() - configurationReadMs < rereadIntervalMs
         ) {
             return;
         }
         let revision = await readConfiguration();
-        for (let unchanged = 0; !closed && revision !== undefined && options.watchesConfiguration(); unchanged += 1) {
+        const era = options.era.current();
+        const isCurrent = (): boolean => !closed && options.watchesConfiguration() && options.era.current() === era;
+        const rereadAtMs = clock.now() + rereadIntervalMs;
+        while (revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
             // A watch may time out although the store is healthy, so its result isn't tracked as availability.
             const watched = await client.watch(options.layout.configurationKey, revision, watchTimeoutMs);
             if (watched.isErr()) {
                 return;
             }
             revision = watched.value.revision;
-            if (watched.value.changed || unchanged >= maxUnchangedWatches) {
-                return;
-            }
+            watched.value.items
+                .filter(item => item.key === options.layout.configurationKey)
+                .forEach(item => offerConfiguration(item.value));
         }
     }
 
-    /** Renews the lease of the registration, or registers this host if it has none or the lease no longer exists. */
-    async function register(): Promise<void> {
-        const requestedAtMs = clock.now();
-        const current = registration;
-        if (current !== undefined) {
-            const renewed = tracked(await client.renew(current.lease));
-            if (renewed.isOk()) {
-                registration = { lease: current.lease, expiresAtMs: requestedAtMs + leaseTtlMs - leaseMarginMs };
-                return;
-            }
-            if (renewed.error.kind !== "missing") {
-                return;
-            }
-            registration = undefined;
-        }
-        const granted = tracked(await client.grant(leaseTtlMs));
-        if (granted.isErr() || deregistered) {
-            return;
-        }
-        const { lease, ttlMs } = granted.value;
-        const self = options.self();
-        const writes = [{ key: registry.hostKey(self.id), value: JSON.stringify(self), lease }];
-        const written = tracked(await client.change({ conditions: [], writes, deletes: [] }));
-        if (written.isOk()) {
-            registration = { lease, expiresAtMs: requestedAtMs + Math.min(ttlMs, leaseTtlMs) - leaseMarginMs };
-            // Only a read that finds this host registered counts as proof.
-            await refresh();
-        }
-    }
+    const registration = registrations.createRegistration({
+        ...options,
+        tracked,
+        // Only a read that finds this host registered counts as proof.
+        onRegistered: refresh,
+    });
 
     async function repeat(task: () => Promise<unknown>, intervalMs: number): Promise<void> {
         while (!closed) {
@@ -347,28 +333,20 @@
             : { hash: listingHash, ageMs: Math.ceil(clock.now() - listedAtMs) }),
         storeResponseAgeMs: () => clock.now() - lastResponseMs,
         listedAtMs: () => listedAtMs,
-        leaseId: () => (registration !== undefined && registration.expiresAtMs > clock.now()
-            ? registration.lease
-            : undefined),
+        leaseId: () => registration.leaseId(),
         sinceStoreFailureMs: () => (lastFailureMs === undefined ? Infinity : clock.now() - lastFailureMs),
-        invalidateLease() {
-            if (registration !== undefined) {
-                registration = { ...registration, expiresAtMs: -Infinity };
-            }
+        invalidateLease: () => registration.invalidate(),
+        storeRestored() {
+            lastFailureMs = clock.now();
+            registration.storeRestored();
         },
         start() {
-            void repeat(register, renewIntervalMs);
+            void repeat(registration.renew, registrations.renewIntervalMs);
             void repeat(syncKeys, pollIntervalMs);
             void repeat(syncEndpoints, pollIntervalMs);
             void repeat(syncConfiguration, configurationIntervalMs);
         },
-        async deregister() {
-            deregistered = true;
-            if (registration !== undefined) {
-                await client.revoke(registration.lease);
-                registration = undefined;
-            }
-        },
+        deregister: () => registration.end(),
         close() {
             closed = true;
             client.close();
--- a/standins/groups/store.ts
+++ b/standins/groups/store.ts
@@ -15,6 +15,14 @@
     readonly stored: Stored | undefined;
 }
 
+/** The data of a store at some moment. */
+export interface Copy {
+    readonly items: ReadonlyMap<string, Stored>;
+    readonly changes: readonly Change[];
+    readonly revision: number;
+    readonly nextLease: number;
+}
+
 /** How the store treats a call. */
 export type Fault = "none" | "silent" | "refusing" | "lost";
 
@@ -30,6 +38,14 @@
     fault(fault: Fault): void;
     /** Drops the history, so that watches that are behind get 410. */
     compact(): void;
+    /** Copies the data. */
+    copy(): Copy;
+    /**
+     * Comes back from a copy in the next era: later changes and all later leases are gone, and their revisions and ids are
+     * given out again. Connections are cut.
+     */
+    restore(copy: Copy): void;
+    era(): number;
     /** Calls received, by kind. */
     readonly calls: ReadonlyMap<string, number>;
     close(): Promise<void>;
@@ -52,6 +68,7 @@
     let compacted = 0;
     let revision = 10;
     let nextLease = 1;
+    let era = 1;
     let fault: Fault = "none";
 
     function write(key: string, stored: Omit<Stored, "revision" | "createdAt"> | undefined): void {
@@ -107,7 +124,7 @@
         const after = Number(query.get("after"));
         const deadline = performance.now() + Number(query.get("wait_ms"));
         for (;;) {
-            if (after < compacted) {
+            if (after < compacted || after > revision) {
                 return [410, {}];
             }
             const events = changes
@@ -213,6 +230,7 @@
             if (present === "silent") {
                 return;
             }
+            response.setHeader("store-era", era);
             if (present === "refusing") {
                 response.writeHead(503).end();
                 return;
@@ -255,6 +273,29 @@
             changes = [];
             [...waiting].forEach(wake => wake());
         },
+        era: () => era,
+        copy: () => ({ items: new Map(items), changes: [...changes], revision, nextLease }),
+        restore(copy) {
+            sockets.forEach(socket => socket.destroy());
+            for (const [id, lease] of leases) {
+                if (id >= copy.nextLease) {
+                    clearTimeout(lease.timer);
+                    leases.delete(id);
+                }
+            }
+            items.clear();
+            copy.items.forEach((stored, key) => {
+                // A lease that ended after the copy was made has taken its keys with it for good.
+                if (stored.lease === 0 || leases.has(stored.lease)) {
+                    items.set(key, stored);
+                }
+            });
+            changes = [...copy.changes];
+            revision = copy.revision;
+            nextLease = copy.nextLease;
+            era += 1;
+            [...waiting].forEach(wake => wake());
+        },
         async close() {
             leases.forEach(lease => clearTimeout(lease.timer));
             sockets.forEach(socket => socket.destroy());
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -7,6 +7,7 @@
 import * as wire from "../../src/platform/wire.js";
 import type * as runtime from "../../src/ports/runtime.js";
 import * as assembly from "../../src/proxy/assembly.js";
+import * as registry from "../../src/proxy/registry.js";
 import * as settingsFile from "../../src/proxy/settings.js";
 import * as endpoints from "./endpoint.js";
 import * as stores from "./store.js";
@@ -26,6 +27,8 @@
     /** Limit of the first organisation; far above any test's load unless given. */
     readonly limit?: { readonly ratePerSecond: number; readonly burst: number };
     readonly log?: runtime.Log;
+    /** True for a store in which the product has not run before. */
+    readonly emptyStore?: boolean;
 }
 
 /** A running world. */
@@ -145,6 +148,9 @@
         ],
     };
     store.put("op/config", JSON.stringify(document));
+    if (options.emptyStore !== true) {
+        store.put(registry.settledKey(store.era()), "");
+    }
 
     function list(state: Readonly<Record<string, string>> = {}): void {
         running.filter(endpoint => !crashed.has(endpoint.id)).forEach((endpoint, index) =>
@@ -194,7 +200,7 @@
             settings,
             clock,
             log,
-            platform: count => platform.create(settings, log, count),
+            platform: (count, era) => platform.create(settings, log, count, era),
             random: Math.random,
             incarnation: `${number}-${performance.now()}`,
         });
--- /dev/null
+++ b/standins/simulatedfleet.ts
@@ -0,0 +1,362 @@
+/** Hosts of the product without their callers, over a simulated store, network and endpoints. */
+import * as neverthrow from "neverthrow";
+import * as directories from "../src/core/directory.js";
+import * as failure from "../src/core/failure.js";
+import * as leaderships from "../src/core/leadership.js";
+import * as limiters from "../src/core/limiter.js";
+import * as policies from "../src/core/policy.js";
+import * as storeEra from "../src/core/storeera.js";
+import type * as connections from "../src/ports/connection.js";
+import type * as rpc from "../src/ports/messages.js";
+import type * as network from "../src/ports/network.js";
+import * as clusterViews from "../src/proxy/clusterview.js";
+import * as coordinators from "../src/proxy/coordinator.js";
+import type * as eventLogs from "../src/proxy/events.js";
+import * as messages from "../src/proxy/messages.js";
+import * as gossip from "../src/proxy/peers.js";
+import * as replacers from "../src/proxy/replacement.js";
+import * as restorers from "../src/proxy/restoration.js";
+import * as storeSyncs from "../src/proxy/storesync.js";
+import * as simulation from "./simulation.js";
+
+/** Name of the only group. */
+export const group = "ledger";
+/** Age at which a proof expires, in milliseconds. */
+export const maxProofAgeMs = 1_500;
+const graceMs = 150;
+const peerDelayMs = 2;
+const promoteMs = 300;
+
+/** An endpoint. */
+export interface Endpoint {
+    readonly id: string;
+    primary: boolean;
+    term: number;
+    alive: boolean;
+    /** Hosts that can't reach it. */
+    readonly cutFrom: Set<number>;
+}
+
+/** A promotion that the platform was asked for. */
+export interface Promotion {
+    readonly endpoint: string;
+    readonly holder: string;
+    readonly token: number;
+}
+
+/** One host, as far as tests look into it. */
+export interface Host {
+    readonly leadership: leaderships.Leadership;
+    readonly storeSync: storeSyncs.StoreSync;
+    readonly era: storeEra.StoreEra;
+    close(): void;
+}
+
+/** The hosts and what surrounds them. */
+export interface Fleet {
+    readonly clock: simulation.Clock;
+    readonly store: simulation.Store;
+    readonly endpoints: readonly Endpoint[];
+    readonly hosts: Host[];
+    readonly promotions: readonly Promotion[];
+    /** Events of all hosts, in order. */
+    readonly events: readonly (readonly [host: number, name: eventLogs.EventName])[];
+    /** Hosts that can't reach the store. */
+    readonly cutFromStore: Set<number>;
+    /** Hosts that reach no other host. */
+    readonly cutFromPeers: Set<number>;
+    /** Hosts whose processes don't run. */
+    readonly down: Set<number>;
+    start(host: number): void;
+    kill(host: number): void;
+    configure(version: number): void;
+    close(): void;
+}
+
+const silent = { kind: "unreachable" as const };
+
+/** Creates a fleet; nothing runs until its clock moves. */
+export function createFleet(hostCount: number, random: () => number): Fleet {
+    const clock = simulation.createClock();
+    const simulatedStore = simulation.createStore(clock);
+    const endpoints: Endpoint[] = ["i-1", "i-2", "i-3"].map((id, index) => ({
+        id,
+        primary: index === 0,
+        term: 1,
+        alive: true,
+        cutFrom: new Set(),
+    }));
+    const promotions: Promotion[] = [];
+    const events: (readonly [number, eventLogs.EventName])[] = [];
+    const [cutFromStore, cutFromPeers, down] = [new Set<number>(), new Set<number>(), new Set<number>()];
+    const running: { peers: gossip.Peers; clusterView: clusterViews.ClusterView }[] = [];
+    let starts = 0;
+
+    const put = (version: number): void => simulatedStore.put("op/config", String(version));
+    const list = (): void =>
+        endpoints.filter(endpoint => endpoint.alive).forEach(endpoint =>
+            simulatedStore.put(`servers/${endpoint.id}`, JSON.stringify({ primary: endpoint.primary }))
+        );
+    put(1);
+    list();
+
+    const storeLayout: storeSyncs.StoreLayout = {
+        configurationKey: "op/config",
+        endpointsPrefix: "servers/",
+        parsePolicy: text =>
+            neverthrow.ok({
+                ...policies.empty,
+                version: Number(text),
+                groups: new Map([[group, { name: group, maxConnections: 16 }]]),
+                organisations: new Map([["cluj", { name: "cluj", ratePerSecond: 100, burst: 100 }]]),
+            }),
+        parseEndpoint: (key, text) =>
+            neverthrow.ok({
+                id: key.slice("servers/".length),
+                group,
+                address: key,
+                failureDomain: "zone-0",
+                slots: 2,
+                draining: false,
+                primary: (JSON.parse(text) as { readonly primary: boolean }).primary,
+                born: 1,
+                sequence: 1,
+            }),
+    };
+
+    async function send(
+        host: number,
+        id: string,
+        request: connections.ControlCommand,
+    ): Promise<connections.Status | undefined> {
+        const endpoint = endpoints.find(candidate => candidate.id === id);
+        await clock.sleep(peerDelayMs);
+        if (endpoint === undefined || !endpoint.alive || endpoint.cutFrom.has(host)) {
+            await clock.sleep(100);
+            return undefined;
+        }
+        if (request.kind === "stepDown" && request.term > endpoint.term) {
+            endpoint.primary = false;
+        }
+        const received = { term: endpoint.term, index: 1 };
+        return { primary: endpoint.primary, term: endpoint.term, received } as connections.Status;
+    }
+
+    async function promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>> {
+        await clock.sleep(peerDelayMs);
+        const endpoint = endpoints.find(candidate => candidate.id === id);
+        if (endpoint === undefined || !endpoint.alive) {
+            return neverthrow.ok(false);
+        }
+        promotions.push({ endpoint: id, holder, token });
+        if (!endpoint.primary || endpoints.some(other => other.term > endpoint.term)) {
+            clock.after(promoteMs, () => {
+                endpoint.term = Math.max(...endpoints.map(other => other.term)) + 1;
+                endpoint.primary = true;
+                list();
+            });
+        }
+        return neverthrow.ok(true);
+    }
+
+    function networkOf(from: number): network.Network {
+        return {
+            openChannel: address => ({
+                async call<Request, Reply>(method: rpc.Method<Request, Reply>, request: Request) {
+                    const to = Number(address);
+                    const lost = neverthrow.err(failure.create(failure.Code.peerUnreachable, address, "no answer"));
+                    await clock.sleep(peerDelayMs);
+                    if (down.has(to)) {
+                        return neverthrow.err(failure.create(failure.Code.ownerUnreachable, address, "refused"));
+                    }
+                    const remote = running[to];
+                    if (remote === undefined || down.has(from) || [from, to].some(host => cutFromPeers.has(host))) {
+                        return lost;
+                    }
+                    if (method.name === messages.peer.record.name) {
+                        await remote.clusterView.applyAndFence(request as leaderships.Record);
+                        return neverthrow.ok(method.reply.parse({}));
+                    }
+                    if (method.name !== messages.peer.exchange.name) {
+                        return lost;
+                    }
+                    const digest = remote.peers.handleExchange(messages.encodedDigest.parse(request));
+                    await clock.sleep(peerDelayMs);
+                    return neverthrow.ok(method.reply.parse(digest));
+                },
+                close: () => undefined,
+            }),
+            close: () => undefined,
+        };
+    }
+
+    function create(host: number): Host {
+        starts += 1;
+        const incarnation = String(starts);
+        const self: messages.Member = {
+            id: `host-${host}`,
+            address: String(host),
+            failureDomain: "zone-0",
+            incarnation,
+            leaving: false,
+        };
+        let closed = false;
+        const eventLog: eventLogs.EventLog = {
+            emit: name => void (closed || events.push([host, name])),
+            reportOmitted: () => undefined,
+        };
+        const era = storeEra.createStoreEra({
+            now: clock.now,
+            onRestored() {
+                if (!closed) {
+                    eventLog.emit("storeRestored", {});
+                    clusterView.storeRestored();
+                }
+            },
+        });
+        const client = simulatedStore.connect(era, () => closed || cutFromStore.has(host));
+        const leadership = leaderships.createLeadership({ maxProofAgeMs, graceMs });
+        const directory = directories.createDirectory({ missingGraceMs: 2_500, outageGapMs: 2_500 });
+        const limiter = limiters.createLimiter();
+        const peers = gossip.createPeers({
+            self: () => self,
+            seeds: [],
+            network: networkOf(host),
+            clock,
+            events: eventLog,
+            random,
+            localDigest: () => clusterView.localDigest(),
+            onDigest: (digest, requestedAtMs) => clusterView.mergeDigest(digest, requestedAtMs),
+        });
+        const storeSync: storeSyncs.StoreSync = storeSyncs.createStoreSync({
+            self: () => self,
+            store: client,
+            era,
+            layout: storeLayout,
+            directory,
+            clock,
+            events: eventLog,
+            random,
+            proofAgeMs: () => leadership.proofAgeMs(clock.now()),
+            newestPeerListing: () => clusterView.newestPeerListing(),
+            pollRank: () => clusterView.pollRank(),
+            watchesConfiguration: () => clusterView.watchesConfiguration(),
+            hasSuspectedHosts: () => false,
+            holdsFailoverLock: () => lock.fencingToken() !== undefined,
+            onSnapshot: (snapshot, requestedAtMs) => clusterView.applyStoreContents(snapshot, requestedAtMs),
+            onChange: () => clusterView.configurationChanged(),
+        });
+        const lock = coordinators.createHeldLock(() => storeSync);
+        const prober = {
+            send: (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
+                send(host, endpoint.id, request),
+            async statuses(listed: readonly directories.Endpoint[]) {
+                const found = await Promise.all(
+                    listed.map(async endpoint =>
+                        [endpoint.id, await send(host, endpoint.id, { kind: "status" })] as const
+                    ),
+                );
+                return new Map(found.flatMap(([id, status]) => (status === undefined ? [] : [[id, status] as const])));
+            },
+            close: () => undefined,
+        };
+        const common = {
+            clock,
+            era,
+            events: eventLog,
+            store: client,
+            storeSync,
+            peers,
+            prober,
+            leadership,
+            endpoints: (name: string) => directory.inGroup(name),
+            fencingToken: () => lock.fencingToken(),
+        };
+        const coordinator: coordinators.FailoverCoordinator = coordinators.createFailoverCoordinator({
+            ...common,
+            self,
+            lock,
+            restorer: restorers.createRestorer(common),
+            replacer: replacers.createReplacer({
+                ...common,
+                hostId: self.id,
+                maxProofAgeMs,
+                promotions: { promote: (_, endpoint, holder, token) => promote(endpoint, holder, token) },
+                applyRecord: record => clusterView.applyRecord(record),
+                applyAndFence: record => clusterView.applyAndFence(record),
+            }),
+            groups: () => clusterView.groups(),
+        });
+        const clusterView: clusterViews.ClusterView = clusterViews.createClusterView({
+            failureDomain: "zone-0",
+            regionByFailureDomain: { "zone-0": "region" },
+            clock,
+            era,
+            handoverGraceMs: graceMs,
+            events: eventLog,
+            leadership,
+            directory,
+            limiter,
+            dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
+            random,
+            self: () => self,
+            peers: () => peers,
+            storeSync: () => storeSync,
+            coordinator: () => coordinator,
+            onChange: () => undefined,
+        });
+        running[host] = { peers, clusterView };
+        peers.start();
+        storeSync.start();
+        coordinator.start();
+        const stopEvaluation = clock.every(100, () => clusterView.evaluateProof());
+        return {
+            leadership,
+            storeSync,
+            era,
+            close() {
+                closed = true;
+                stopEvaluation();
+                coordinator.close();
+                storeSync.close();
+                peers.close();
+            },
+        };
+    }
+
+    const fleet: Fleet = {
+        clock,
+        store: simulatedStore,
+        endpoints,
+        promotions,
+        events,
+        cutFromStore,
+        cutFromPeers,
+        down,
+        hosts: [],
+        start(host) {
+            down.delete(host);
+            fleet.hosts[host] = create(host);
+        },
+        kill(host) {
+            down.add(host);
+            fleet.hosts[host]?.close();
+        },
+        configure: put,
+        close: () => fleet.hosts.forEach(host => host.close()),
+    };
+    for (let host = 0; host < hostCount; host += 1) {
+        fleet.start(host);
+    }
+    clock.every(1_000, () => {
+        // A replaced primary becomes a replica once it reaches its successor.
+        const newestTerm = Math.max(
+            ...endpoints.filter(entry => entry.primary && entry.alive).map(entry => entry.term),
+        );
+        endpoints.filter(entry => entry.alive && entry.cutFrom.size === 0 && entry.term < newestTerm).forEach(entry => {
+            entry.primary = false;
+        });
+        list();
+    });
+    return fleet;
+}
