Back off after failed reads of the store; leave the first read of a large fleet's configuration to one host a cell

Ruled out: longer limits (the link would carry fewer, later responses); rank alone (without digests every host is the first). Change: core/backoff, a pause that doubles after each failed read, up to 1 s for the keys and 2 s for lists, with jitter; in a fleet of several cells the first host of each cell reads the configuration at once, the others receive it compressed and read it themselves only after 2.5 s and more.

--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -162,6 +162,7 @@
             newestPeerListing: () => clusterView().newestPeerListing(),
             pollRank: () => clusterView().pollRank(),
             watchesConfiguration: () => clusterView().watchesConfiguration(),
+            cellRank: () => (peers().cellCount() > 1 ? peers().cellRank() : 0),
             hasSuspectedHosts: () => peers().usageReports().suspectedHosts > 0,
             holdsFailoverLock: () => failoverLock().fencingToken() !== undefined,
             onSnapshot: (snapshot, sentMs) => clusterView().applyStoreContents(snapshot, sentMs),
--- a/src/proxy/configurationtransfer.ts
+++ b/src/proxy/configurationtransfer.ts
@@ -4,6 +4,7 @@
  */
 import * as crypto from "node:crypto";
 import * as zlib from "node:zlib";
+import * as backoffs from "../core/backoff.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as events from "./events.js";
 import type * as fleets from "./fleet.js";
@@ -71,8 +72,7 @@
 
 /** Time limit for one part. */
 const partTimeoutMs = 1_500;
-const firstPauseMs = 100;
-const maxPauseMs = 2_000;
+const retryPauses = { firstMs: 200, maxMs: 2_000 } as const;
 /** Consecutive failures after which a fetch ends; the next digest of a host with a newer version begins another one. */
 const maxFailures = 6;
 
@@ -83,9 +83,12 @@
 
     async function fetchNewest(): Promise<void> {
         let parts: Uint8Array[] = [];
-        let [received, failures] = [0, 0];
+        const backoff = backoffs.createBackoff(retryPauses);
+        let received = 0;
         let hash = "";
-        for (let source = options.source(); source !== undefined && failures < maxFailures; source = options.source()) {
+        const nextSource = (): fleets.Peer | undefined =>
+            backoff.failures() < maxFailures ? options.source() : undefined;
+        for (let source = nextSource(); source !== undefined; source = nextSource()) {
             const startedMs = clock.now();
             const { member } = source;
             const reply = await options.peers().call(
@@ -95,10 +98,8 @@
                 partTimeoutMs,
             );
             if (reply.isErr()) {
-                failures += 1;
                 events.emit("catalogueMissed", { peer: member.id, reason: reply.error.message, received });
-                const pauseMs = Math.min(maxPauseMs, firstPauseMs * 2 ** failures);
-                await clock.sleep(pauseMs * (0.5 + options.random()));
+                await clock.sleep(backoff.fail(options.random()));
                 continue;
             }
             const part = reply.value;
@@ -113,7 +114,7 @@
                     continue;
                 }
             }
-            failures = 0;
+            backoff.succeed();
             parts.push(part.bytes);
             received += part.bytes.length;
             if (received >= part.sizeBytes) {
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -66,6 +66,8 @@
     merge(sender: number, digest: messages.Digest, receivedAtMs: number, requestedAtMs: number | undefined): void;
     /** Number of cells that the hosts are divided into. */
     cellCount(): number;
+    /** Rank of this host by id among the hosts of its cell. */
+    cellRank(): number;
     /** The summaries of cells to send to the host of that id. */
     cellSummaries(digest: LocalDigest, receiverId: string | undefined): readonly messages.CellSummary[];
     /** Hosts that this one polls. */
@@ -234,6 +236,7 @@
             return summariesFor(digest, receiverId);
         },
         cellCount: () => assignCells().size,
+        cellRank: () => (assignCells().get(cellOf(self.id)) ?? []).indexOf(self.id),
         gossipTargets: () => [...cellPeers(), ...counterpartDelegates()],
         usageReports() {
             const nowMs = clock.now();
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -51,6 +51,8 @@
     peerProofs(): readonly leadership.PeerProof[];
     /** Number of cells that the hosts are divided into. */
     cellCount(): number;
+    /** Rank of this host by id among the hosts of its cell. */
+    cellRank(): number;
     /** Sorted ids of all hosts that may hold connections to endpoints, this one included. */
     connectionHolders(): readonly string[];
     start(): void;
@@ -282,6 +284,7 @@
         usageReports: () => fleet.usageReports(),
         endpointUsage: endpoint => fleet.endpointUsage(endpoint),
         cellCount: () => fleet.cellCount(),
+        cellRank: () => fleet.cellRank(),
         peerProofs: () => fleet.peerProofs(),
         connectionHolders: () =>
             [
--- a/src/proxy/registration.ts
+++ b/src/proxy/registration.ts
@@ -21,8 +21,11 @@
 
 /** The registration of this host. */
 export interface Registration {
-    /** Renews the lease, or registers this host if it has none or the lease no longer exists. */
-    renew(): Promise<void>;
+    /**
+     * Renews the lease, or registers this host if it has none or the lease no longer exists. Resolves to true, as a lease
+     * has to be renewed in time even after failures.
+     */
+    renew(): Promise<true>;
     /** Lease of the registration; undefined when the lease may have expired. */
     leaseId(): number | undefined;
     /** Treats the lease as expired until it is renewed. */
@@ -89,15 +92,16 @@
         }
     }
 
-    async function renew(): Promise<void> {
+    async function renew(): Promise<true> {
         if (renewing) {
-            return;
+            return true;
         }
         renewing = true;
         if (lease === undefined || !await renewLease(lease)) {
             await register();
         }
         renewing = false;
+        return true;
     }
 
     return {
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -1,6 +1,7 @@
 /** Keeps a host in sync with the store: its own key prefix, the operators' configuration and the endpoint listing. */
 import type * as neverthrow from "neverthrow";
 import * as crypto from "node:crypto";
+import * as backoffs from "../core/backoff.js";
 import type * as directory from "../core/directory.js";
 import * as policies from "../core/policy.js";
 import type * as runtime from "../ports/runtime.js";
@@ -40,6 +41,8 @@
     pollRank(): number;
     /** True when this host is one of those that watch the configuration on behalf of all. */
     watchesConfiguration(): boolean;
+    /** Rank of this host in its cell, if the fleet has several cells; 0 otherwise. */
+    cellRank(): number;
     /** True while a registered host is suspected to have failed. */
     hasSuspectedHosts(): boolean;
     /** True while this host holds the failover lock. */
@@ -107,6 +110,15 @@
 const watchTimeoutMs = 2_000;
 /** Time after which the configuration is read although no watch has shown a change. It may be large, so this is rare. */
 const rereadIntervalMs = 30_000;
+/**
+ * Time for which a host that starts leaves the configuration to the first host of its cell and then, compressed, to the
+ * transfer between hosts. When a whole large fleet starts, its links couldn't carry the configuration to each host.
+ */
+const firstReadDelayMs = 2_500;
+const firstReadRankDelayMs = 500;
+/** Pauses after failed reads: a proof is needed soon, the others are also received from other hosts. */
+const keysBackoff = { firstMs: 250, maxMs: 1_000 } as const;
+const listBackoff = { firstMs: 250, maxMs: 2_000 } as const;
 /** Mean pause between two syncs of the configuration. */
 const configurationIntervalMs = 250;
 /** Number of hosts that poll the store on behalf of all: one, and two that take over if nothing new arrives from it. */
@@ -134,6 +146,8 @@
     let listing: readonly directory.Endpoint[] = [];
     let listingHash = "";
     let lastReadMs = -Infinity;
+    let lastSnapshotMs: number | undefined;
+    let startedMs = -Infinity;
     let storeDown = false;
     let closed = false;
     /** Keys of endpoints that were rejected and logged, so that each is logged once. */
@@ -201,41 +215,39 @@
             lastFailureMs = clock.now();
         }
         snapshot.corruptKeys.forEach(key => events.emit("entryRejected", { key, reason: "unreadable" }));
+        lastSnapshotMs = clock.now();
         options.onSnapshot(snapshot, requestedAtMs);
         return snapshot;
     }
 
-    async function syncKeys(): Promise<void> {
+    async function syncKeys(): Promise<boolean> {
         const maxAgeMs = options.holdsFailoverLock()
             ? coordinatorProofRefreshMs
             : proofRefreshMs + options.pollRank() * proofRankDelayMs;
         const intervalMs = options.hasSuspectedHosts() ? suspectedReadIntervalMs : maxReadIntervalMs;
-        if (options.proofAgeMs() > maxAgeMs || clock.now() - lastReadMs > intervalMs) {
-            await refresh();
-        }
+        const due = options.proofAgeMs() > maxAgeMs || clock.now() - lastReadMs > intervalMs;
+        return !due || options.era.current() === undefined || await refresh() !== undefined;
     }
 
     /** Takes the listing as current when a peer has recently read the same one, and reads it otherwise. */
-    async function syncEndpoints(): Promise<void> {
+    async function syncEndpoints(): Promise<boolean> {
         const peerListing = options.newestPeerListing();
         const maxAgeMs = listingRefreshMs + options.pollRank() * listingRankDelayMs;
         if (peerListing !== undefined && peerListing.hash === listingHash && peerListing.ageMs < maxAgeMs) {
             offerEndpoints(listing, clock.now() - peerListing.ageMs);
         }
         const ageMs = clock.now() - (listedAtMs ?? -Infinity);
-        if (
-            ageMs >= maxAgeMs
-            || (peerListing !== undefined && peerListing.hash !== listingHash && peerListing.ageMs < ageMs)
-        ) {
-            await readEndpoints();
-        }
+        const due = ageMs >= maxAgeMs
+            || (peerListing !== undefined && peerListing.hash !== listingHash && peerListing.ageMs < ageMs);
+        return !due || await readEndpoints();
     }
 
-    async function readEndpoints(): Promise<void> {
+    /** Resolves to false without a response. */
+    async function readEndpoints(): Promise<boolean> {
         const requestedAtMs = clock.now();
         const response = tracked(await client.range(options.layout.endpointsPrefix));
         if (response.isErr()) {
-            return;
+            return false;
         }
         const endpoints = response.value.items.flatMap(item => {
             const entry = options.layout.parseEndpoint(item.key, item.value);
@@ -250,6 +262,7 @@
             return [entry.value];
         });
         offerEndpoints(endpoints, requestedAtMs);
+        return true;
     }
 
     function offerEndpoints(next: readonly directory.Endpoint[], requestedAtMs: number): void {
@@ -283,12 +296,21 @@
         return response.value.revision;
     }
 
-    async function syncConfiguration(): Promise<void> {
-        if (
-            !options.watchesConfiguration() && policy.version > 0
-            && clock.now() - configurationReadMs < rereadIntervalMs
-        ) {
-            return;
+    /** True while another host of the cell is to read the configuration first. */
+    function leavesFirstRead(): boolean {
+        const rank = options.cellRank();
+        const delayMs = rank === 0 ? 0 : firstReadDelayMs + rank * firstReadRankDelayMs;
+        return lastSnapshotMs === undefined
+            ? clock.now() - startedMs < firstReadDelayMs
+            : clock.now() - startedMs < delayMs;
+    }
+
+    async function syncConfiguration(): Promise<boolean> {
+        const waits = policy.version === 0
+            ? leavesFirstRead()
+            : !options.watchesConfiguration() && clock.now() - configurationReadMs < rereadIntervalMs;
+        if (waits) {
+            return true;
         }
         let revision = await readConfiguration();
         const era = options.era.current();
@@ -298,13 +320,14 @@
             // A watch may time out although the store is healthy, so its result isn't tracked as availability.
             const watched = await client.watch(options.layout.configurationKey, revision, watchTimeoutMs);
             if (watched.isErr()) {
-                return;
+                return true;
             }
             revision = watched.value.revision;
             watched.value.items
                 .filter(item => item.key === options.layout.configurationKey)
                 .forEach(item => offerConfiguration(item.value));
         }
+        return revision !== undefined;
     }
 
     const registration = registrations.createRegistration({
@@ -314,11 +337,23 @@
         onRegistered: refresh,
     });
 
-    async function repeat(task: () => Promise<unknown>, intervalMs: number): Promise<void> {
+    /** Repeats a task, which resolves to false when it has failed. */
+    async function repeat(
+        task: () => Promise<boolean>,
+        intervalMs: number,
+        pauses: backoffs.Options,
+    ): Promise<void> {
+        const backoff = backoffs.createBackoff(pauses);
         while (!closed) {
-            await task();
             // Jitter keeps hosts that start together from calling the store at the same moments.
-            await clock.sleep(intervalMs * (0.8 + 0.4 * options.random()));
+            const jitteredMs = intervalMs * (0.8 + 0.4 * options.random());
+            if (await task()) {
+                backoff.succeed();
+                await clock.sleep(jitteredMs);
+            }
+            else {
+                await clock.sleep(Math.max(jitteredMs, backoff.fail(options.random())));
+            }
         }
     }
 
@@ -341,10 +376,11 @@
             registration.storeRestored();
         },
         start() {
-            void repeat(registration.renew, registrations.renewIntervalMs);
-            void repeat(syncKeys, pollIntervalMs);
-            void repeat(syncEndpoints, pollIntervalMs);
-            void repeat(syncConfiguration, configurationIntervalMs);
+            startedMs = clock.now();
+            void repeat(registration.renew, registrations.renewIntervalMs, keysBackoff);
+            void repeat(syncKeys, pollIntervalMs, keysBackoff);
+            void repeat(syncEndpoints, pollIntervalMs, listBackoff);
+            void repeat(syncConfiguration, configurationIntervalMs, listBackoff);
         },
         deregister: () => registration.end(),
         close() {
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -241,6 +241,7 @@
             newestPeerListing: () => clusterView.newestPeerListing(),
             pollRank: () => clusterView.pollRank(),
             watchesConfiguration: () => clusterView.watchesConfiguration(),
+            cellRank: () => 0,
             hasSuspectedHosts: () => false,
             holdsFailoverLock: () => lock.fencingToken() !== undefined,
             onSnapshot: (snapshot, requestedAtMs) => clusterView.applyStoreContents(snapshot, requestedAtMs),
