Replace a silent primary only if another host shows that the fault isn't this host's own

The contacts of other hosts it judged by were as old as its last digests. Ruled out: a longer silence (a dead primary would be noticed later by all); several groups silent at once as a sign (a failure domain that is lost looks the same). Change: a primary counts as silent only if another host answered a poll sent since this host failed to reach it, or refused the connection, or no other one is registered; the other hosts are asked at once after 200 ms of failure. A holder that reaches neither for 1 s gives the lock up for as long as a registration lives. Figures: proxy/isolated.test and core/promotion.test, red with the condition off.

--- a/src/core/promotion.test.ts
+++ b/src/core/promotion.test.ts
@@ -3,7 +3,14 @@
 
 const healthy: promotion.Contact = { answerAgeMs: 50, failingForMs: undefined };
 const failing = (ms: number): promotion.Contact => ({ answerAgeMs: ms + 20, failingForMs: ms });
-const evidence = { unlisted: false, draining: false, demoted: false, own: healthy, others: [healthy, healthy] };
+const evidence = {
+    unlisted: false,
+    draining: false,
+    demoted: false,
+    own: healthy,
+    others: [healthy, healthy],
+    corroborated: true,
+};
 
 describe("promotion", () => {
     it("replaces a primary that has answered no host within the timeout", () => {
@@ -15,6 +22,11 @@
         chai.expect(promotion.evaluate({ ...evidence, own: failing(5_000) }).replace).to.equal(false);
     });
 
+    it("keeps a primary while no other host has confirmed that this host's own link works", () => {
+        const silent = { ...evidence, own: failing(700), others: [failing(660), failing(660)], corroborated: false };
+        chai.expect(promotion.evaluate(silent)).to.deep.equal({ replace: false, reason: "isolated" });
+    });
+
     it("keeps a slow primary that still answers some host", () => {
         const slow = { answerAgeMs: 300, failingForMs: undefined };
         chai.expect(promotion.evaluate({ ...evidence, own: failing(900), others: [slow, failing(900)] }).replace)
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -24,17 +24,24 @@
     readonly own: Contact;
     /** Contacts of the other hosts. */
     readonly others: readonly Contact[];
+    /**
+     * True if another host has answered this one since this one failed to reach the primary, or if there is no other host.
+     * Otherwise the failure may be this host's own.
+     */
+    readonly corroborated: boolean;
 }
 
 /** Whether to replace a primary, and why. */
 export type Decision =
-    | { readonly replace: false; readonly reason: "healthy" | "suspected" }
+    | { readonly replace: false; readonly reason: "healthy" | "suspected" | "isolated" }
     | { readonly replace: true; readonly reason: "gone" | "draining" | "resigned" | "silent" | "partly unreachable" };
 
 /** A primary that answers no host for this long is replaced, in milliseconds. Spans several probes. */
 export const silenceTimeoutMs = 500;
 /** Time for which some of the hosts must fail to reach a primary before it is replaced, in milliseconds. */
 const partialSilenceMs = 1_200;
+/** Failure to reach a primary after which the other hosts are asked for theirs, in milliseconds. */
+export const inquiryDelayMs = 200;
 /** Share of the hosts that must fail to reach a primary before it is replaced, though the others reach it. */
 const partialShare = 0.3;
 
@@ -49,7 +56,7 @@
     const all = [evidence.own, ...evidence.others];
     const silent = (contact: Contact): boolean => (contact.answerAgeMs ?? Infinity) >= silenceTimeoutMs;
     if ((evidence.own.failingForMs ?? -1) >= silenceTimeoutMs && all.every(silent)) {
-        return { replace: true, reason: "silent" };
+        return evidence.corroborated ? { replace: true, reason: "silent" } : { replace: false, reason: "isolated" };
     }
     const failing = all.filter(contact => (contact.failingForMs ?? -1) >= partialSilenceMs);
     if (failing.length >= 2 && failing.length >= all.length * partialShare) {
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -80,6 +80,11 @@
 /** Time after a replacement during which another one for partial unreachability is suppressed. */
 const partialReplacementHoldOffMs = 3_000;
 
+/** Time without contact to a primary and to any other host after which this host gives up the lock. */
+const isolationTimeoutMs = 1_000;
+/** Time for which a host that gave up the lock leaves it to others; those that are dead are no longer registered then. */
+const isolationHoldOffMs = registration.leaseTtlMs;
+
 interface GroupState {
     /** True while a replacement or the creation of the record runs. */
     replacing: boolean;
@@ -102,6 +107,8 @@
     let settled = false;
     let restoring = false;
     let lastTickMs = -Infinity;
+    let inquiredAtMs = -Infinity;
+    let heldOffUntilMs = -Infinity;
     let stop: (() => void) | undefined;
 
     function stateOf(group: string): GroupState {
@@ -139,6 +146,12 @@
         }
     }
 
+    /** True if another host has answered a poll that was sent since then, or if no other host is registered. */
+    function isCorroborated(sinceMs: number): boolean {
+        const others = options.peers.all().filter(peer => peer.registered && !peer.member.leaving);
+        return others.length === 0 || others.some(peer => Math.max(peer.lastPolledMs, peer.lastRefusedMs) >= sinceMs);
+    }
+
     function decide(group: groups.Group, record: leadership.Record): promotion.Decision {
         const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
         const others = options.peers.live().flatMap(peer => {
@@ -156,13 +169,25 @@
             ): number | undefined => (ms === undefined ? undefined : ms + digestAgeMs);
             return [{ answerAgeMs: ageNow(contact.answerAgeMs), failingForMs: contact.failingForMs }];
         });
+        const own = group.primaryContact();
+        if (
+            (own.failingForMs ?? 0) >= promotion.inquiryDelayMs
+            && clock.now() - inquiredAtMs >= promotion.inquiryDelayMs
+        ) {
+            inquiredAtMs = clock.now();
+            options.peers.pollNow();
+        }
         const decision = promotion.evaluate({
             unlisted: endpoint === undefined,
             draining: endpoint?.draining ?? false,
             demoted: stateOf(group.name).demoted,
-            own: group.primaryContact(),
+            own,
             others,
+            corroborated: isCorroborated(clock.now() - (own.failingForMs ?? 0)),
         });
+        if (decision.reason === "isolated" && (own.failingForMs ?? 0) >= isolationTimeoutMs) {
+            void yieldLock();
+        }
         const heldOff = replacer.sinceReplacementMs(group.name) < partialReplacementHoldOffMs;
         return decision.reason === "partly unreachable" && heldOff ? { replace: false, reason: "suspected" } : decision;
     }
@@ -211,7 +236,8 @@
     function mayAcquire(): boolean {
         const leaseExpired = options.era.ageMs() >= registration.leaseTtlMs;
         const delayMs = heldInPreviousEra ? 0 : rank() * rankDelayMs;
-        return lockFreeSinceMs !== undefined && clock.now() - lockFreeSinceMs >= delayMs
+        return clock.now() >= heldOffUntilMs && lockFreeSinceMs !== undefined
+            && clock.now() - lockFreeSinceMs >= delayMs
             && (settled || heldInPreviousEra || leaseExpired);
     }
 
@@ -276,6 +302,29 @@
         options.groups().forEach(supervise);
     }
 
+    /** Deletes the lock from the store, if no replacement is under way any longer that rests on it. */
+    async function releaseLock(): Promise<void> {
+        const [era, token] = [options.era.current(), lock.fencingToken()];
+        lock.set(undefined);
+        heldToken = undefined;
+        // An attempt that is under way ends before its next call, as the token is gone.
+        await Promise.race([Promise.all(attempts), clock.sleep(releaseTimeoutMs)]);
+        if (era !== undefined && token !== undefined && attempts.size === 0) {
+            const key = registry.failoverLockKey(era);
+            const conditions = [{ key, revision: storeEras.numberOf(token) }];
+            const released = await client.change({ conditions, writes: [], deletes: [key] });
+            events.emit("dutyLost", { holder: undefined, released: released.isOk() });
+        }
+    }
+
+    /** Leaves the lock to a host that reaches the primaries or at least the other hosts. */
+    async function yieldLock(): Promise<void> {
+        if (clock.now() >= heldOffUntilMs) {
+            heldOffUntilMs = clock.now() + isolationHoldOffMs;
+            await releaseLock();
+        }
+    }
+
     /** Rank of this host among those that may acquire the lock; a host waits longer the higher its rank. */
     function rank(): number {
         const ids = options.peers.live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
@@ -315,17 +364,8 @@
             stop = clock.every(probeIntervalMs, tick);
         },
         async release() {
-            const [era, token] = [options.era.current(), lock.fencingToken()];
-            lock.set(undefined);
             stop?.();
-            // An attempt that is under way ends before its next call, as the token is gone.
-            await Promise.race([Promise.all(attempts), clock.sleep(releaseTimeoutMs)]);
-            if (era !== undefined && token !== undefined && attempts.size === 0) {
-                const key = registry.failoverLockKey(era);
-                const conditions = [{ key, revision: storeEras.numberOf(token) }];
-                const released = await client.change({ conditions, writes: [], deletes: [key] });
-                events.emit("dutyLost", { holder: undefined, released: released.isOk() });
-            }
+            await releaseLock();
         },
         close() {
             stop?.();
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -161,6 +161,7 @@
         lastHeardMs: 900,
         lastPolledMs,
         lastRefusedMs: -Infinity,
+        registered: true,
     });
 
     it("prefers the newest version, then the host polled last, as one that never replied may be unreachable", () => {
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -19,6 +19,8 @@
     readonly lastPolledMs: number;
     /** When its address last refused a connection, which shows that no host ran there. */
     readonly lastRefusedMs: number;
+    /** True while the store lists it. */
+    readonly registered: boolean;
 }
 
 /** Another host, with the state of the gossip with it. */
--- /dev/null
+++ b/src/proxy/isolated.test.ts
@@ -0,0 +1,46 @@
+import * as chai from "chai";
+import * as simulatedFleets from "../../standins/simulatedfleet.js";
+
+describe("a holder of the failover lock that reaches only the store", function() {
+    this.timeout(60_000);
+    let fleet: simulatedFleets.Fleet;
+
+    beforeEach(() => {
+        let seed = 0;
+        fleet = simulatedFleets.createFleet(4, () => {
+            seed = (seed * 7 + 3) % 101;
+            return seed / 101;
+        });
+    });
+    afterEach(() => fleet.close());
+
+    const holders = (): readonly number[] =>
+        fleet.events.filter(([, name]) => name === "dutyTaken").map(([host]) => host);
+
+    it("replaces no primary, gives up the lock, and leaves a primary that dies to the next holder", async () => {
+        await fleet.clock.advance(5_000);
+        const [holder = 0] = holders();
+        fleet.cutFromPeers.add(holder);
+        fleet.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
+        await fleet.clock.advance(4_000);
+        chai.expect(fleet.promotions).to.deep.equal([]);
+        chai.expect(holders()).to.have.length(2);
+        chai.expect(holders()[1]).not.to.equal(holder);
+        fleet.endpoints.filter(endpoint => endpoint.primary).forEach(endpoint => {
+            endpoint.alive = false;
+        });
+        await fleet.clock.advance(4_000);
+        chai.expect(fleet.promotions.map(promotion => promotion.holder)).to.deep.equal([`host-${holders()[1]}`]);
+    });
+
+    it("still replaces a dead primary when all other hosts are dead and no longer registered", async () => {
+        await fleet.clock.advance(5_000);
+        const [holder = 0] = holders();
+        [0, 1, 2, 3].filter(host => host !== holder).forEach(host => fleet.kill(host));
+        fleet.endpoints.filter(endpoint => endpoint.primary).forEach(endpoint => {
+            endpoint.alive = false;
+        });
+        await fleet.clock.advance(8_000);
+        chai.expect(fleet.promotions.map(promotion => promotion.holder)).to.deep.equal([`host-${holder}`]);
+    });
+});
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -56,6 +56,8 @@
     /** Sorted ids of all hosts that may hold connections to endpoints, this one included. */
     connectionHolders(): readonly string[];
     start(): void;
+    /** Polls the hosts of this host's cell now, rather than in the course of the next round. */
+    pollNow(): void;
     /** Sends the digest of this host, which says that it is leaving, to all live hosts at once. */
     announceLeaving(): Promise<void>;
     close(): void;
@@ -298,6 +300,7 @@
             runRound();
             stopRounds = clock.every(roundIntervalMs, runRound);
         },
+        pollNow: () => fleet.gossipTargets().forEach(peer => void poll(peer)),
         async announceLeaving() {
             await Promise.all(
                 live().map(peer =>
