Mend faults that were noticed by reading: queued requests, status rows, suspicion, the store's conflicts

Cause: (1) requests queued behind an answer that closes the connection still ran, with nobody to answer; (2) a status row whose term is no number became NaN; (3) an endpoint that kept failing was suspect for 1 s from its first failure only, then preferred again; (4) a conflict is an answer of the store but did not end storeLost, and a corrupt key was logged at each read; (5) an uncaught exception ended the process with all its sessions; a host that can't start went on as a process without listeners.

--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -124,6 +124,10 @@
                 else {
                     await handleRequest(message);
                 }
+                if (connection.closing) {
+                    // Nothing could be answered any longer, so nothing may run.
+                    queued.length = 0;
+                }
                 if (queued.length < maxPipelinedRequests && socket.isPaused()) {
                     socket.resume();
                 }
--- a/src/platform/wire.test.ts
+++ b/src/platform/wire.test.ts
@@ -107,6 +107,11 @@
         });
     });
 
+    it("rejects a status row whose term or connection count is no number", () => {
+        chai.expect(wire.parseStatus("replica x 3.1209 0 12 2 17", undefined)).to.equal(undefined);
+        chai.expect(wire.parseStatus("replica 3 3.1209 0 12 2 many", undefined)).to.equal(undefined);
+    });
+
     it("parses a status row", () => {
         chai.expect(wire.parseStatus("replica 3 3.1209 0 12 2 17", { term: 3, index: 1_204 })).to.deep.equal({
             primary: false,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -284,18 +284,20 @@
  */
 export function parseStatus(row: string, applied: positions.Position | undefined): connection.Status | undefined {
     const fields = row.split(" ");
-    const [role, term, received] = fields;
+    const [role, , received] = fields;
     const receivedPosition = parsePosition(received ?? "");
+    const [term, connections] = [Number(fields[1]), Number(fields[statusFieldCount - 1])];
     if (
         fields.length < statusFieldCount || receivedPosition === undefined || (role !== "primary" && role !== "replica")
+        || !Number.isInteger(term) || !Number.isInteger(connections)
     ) {
         return undefined;
     }
     return {
         primary: role === "primary",
-        term: Number(term),
+        term,
         received: receivedPosition,
         applied,
-        connections: Number(fields[statusFieldCount - 1]),
+        connections,
     };
 }
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -68,7 +68,7 @@
 const minServiceFactor = 2;
 /** Minimum wait after which a time-out counts as a failure: over ten times a usual statement. */
 const minTimeoutMs = 250;
-/** Time from its first failure for which an endpoint counts as suspect and is avoided; then it is tried again. */
+/** Time from its last failure for which an endpoint counts as suspect and is avoided; then it is tried again. */
 const suspicionMs = 1_000;
 
 /** Creates the view of an endpoint to which no request has been sent yet. */
@@ -80,6 +80,7 @@
     let applied: positions.Position | undefined;
     let lastAnswerMs: number | undefined;
     let failingSinceMs: number | undefined;
+    let lastFailureMs = -Infinity;
 
     function recordAnswer(): void {
         if (failingSinceMs !== undefined) {
@@ -98,6 +99,7 @@
         if ((error.timedOut && waitedMs < minTimeoutMs) || requestedAtMs <= (lastAnswerMs ?? -Infinity)) {
             return;
         }
+        lastFailureMs = clock.now();
         if (failingSinceMs === undefined) {
             failingSinceMs = requestedAtMs;
             events.emit("endpointLost", { ...labels, reason: error.message, sinceMs: Math.round(waitedMs) });
@@ -149,7 +151,7 @@
         },
         minStatementMs: () => options.roundTripMs + serviceMs * minServiceFactor,
         placementInputs: organisation => ({
-            suspect: failingSinceMs !== undefined && clock.now() - failingSinceMs < suspicionMs,
+            suspect: failingSinceMs !== undefined && clock.now() - lastFailureMs < suspicionMs,
             roundTripMs: options.roundTripMs,
             serviceMs,
             load: pool.load(),
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -60,7 +60,12 @@
         );
     });
     process.on("unhandledRejection", reason => log.error({ error: String(reason) }, "Unhandled promise rejection."));
+    // An error that only one session or call meets must not end the sessions of all callers.
+    process.on("uncaughtException", thrown => log.error({ error: String(thrown) }, "Uncaught exception."));
     await host.start();
 }
 
-void run();
+run().catch((thrown: unknown) => {
+    process.stderr.write(`The host can't start: ${String(thrown)}\n`);
+    process.exit(1);
+});
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -150,7 +150,7 @@
     let startedMs = -Infinity;
     let storeDown = false;
     let closed = false;
-    /** Keys of endpoints that were rejected and logged, so that each is logged once. */
+    /** Keys of entries that were rejected and logged, so that each is logged once. */
     const rejectedKeys = new Set<string>();
 
     function trackAvailability(error: store.StoreError | undefined): void {
@@ -169,7 +169,7 @@
             // A conflict or a missing key is also a response of the store.
             lastResponseMs = clock.now();
         }
-        if (error === undefined && storeDown) {
+        if ((error === undefined || error.kind === "conflict" || error.kind === "missing") && storeDown) {
             storeDown = false;
             events.emit("storeRegained", {});
         }
@@ -214,7 +214,10 @@
             // No host can change a record yet, which is as if the store were away.
             lastFailureMs = clock.now();
         }
-        snapshot.corruptKeys.forEach(key => events.emit("entryRejected", { key, reason: "unreadable" }));
+        snapshot.corruptKeys.filter(key => !rejectedKeys.has(key)).forEach(key => {
+            rejectedKeys.add(key);
+            events.emit("entryRejected", { key, reason: "unreadable" });
+        });
         lastSnapshotMs = clock.now();
         options.onSnapshot(snapshot, requestedAtMs);
         return snapshot;
--- a/tools/days.js
+++ b/tools/days.js
@@ -76,6 +76,33 @@
         { kind: "herd_kill", share: 0.6, at: [14, 16] },
         { kind: "roll_term", share: 0.5, x: 1, gap_s: 1.3, how: "busy", plan: true, at: [20, 22] },
     ],
+    "hosts-slow-while-the-primary-moves": [
+        { kind: "node_slow", share: 0.4, x: 6, for_s: 7, at: [3, 4] },
+        { kind: "release", how: "primary", plan: true, at: [5, 6] },
+        { kind: "node_slow", on: "core", count: 1, how: "leader", x: 8, for_s: 6, at: [15, 16] },
+        { kind: "srv_crash", how: "dark primary", for_s: 6, at: [16, 17] },
+    ],
+    "hosts-freeze-and-wake": [
+        { kind: "node_freeze", share: 0.4, for_s: 3, at: [3, 4] },
+        { kind: "node_freeze", on: "core", count: 1, how: "renewed", for_s: 4, at: [10, 12] },
+        { kind: "node_freeze", on: "core", count: 2, how: "leader", for_s: 2, at: [18, 20] },
+    ],
+    "hosts-added-in-a-burst": [
+        { kind: "add_nodes", at: [3, 4] },
+        { kind: "big_config", count: 600, plan: true, at: [3, 5] },
+        { kind: "burst", x: 1.4, for_s: 5, at: [4, 6] },
+    ],
+    "endpoints-flap-while-the-store-is-away": [
+        { kind: "srv_flap", share: 0.3, gap_s: 1.1, for_s: 8, at: [3, 4] },
+        { kind: "platform_down", how: "busy", for_s: 4, at: [7, 8] },
+        { kind: "srv_flap", share: 0.5, gap_s: 0.6, for_s: 5, at: [18, 20] },
+    ],
+    "settings-change-under-load": [
+        { kind: "hup", share: 0.6, plan: true, at: [3, 4] },
+        { kind: "roll_term", share: 0.5, x: 1, gap_s: 1.5, how: "busy", plan: true, at: [8, 9] },
+        { kind: "hup", share: 1, plan: true, at: [10, 12] },
+        { kind: "reset_conns", share: 0.5, x: 0.6, at: [22, 24] },
+    ],
 };
 
 const rng = generators.xoroshiro128plus(seed);
