--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -116,6 +116,8 @@
  */
 const firstReadDelayMs = 2_500;
 const firstReadRankDelayMs = 500;
+/** Interval at which a host without a configuration checks whether it is its turn to read it. */
+const firstReadCheckMs = 20;
 /** Pauses after failed reads: a proof is needed soon, the others are also received from other hosts. */
 const keysBackoff = { firstMs: 250, maxMs: 1_000 } as const;
 const listBackoff = { firstMs: 250, maxMs: 2_000 } as const;
@@ -343,13 +345,13 @@
     /** Repeats a task, which resolves to false when it has failed. */
     async function repeat(
         task: () => Promise<boolean>,
-        intervalMs: number,
+        intervalMs: () => number,
         pauses: backoffs.Options,
     ): Promise<void> {
         const backoff = backoffs.createBackoff(pauses);
         while (!closed) {
             // Jitter keeps hosts that start together from calling the store at the same moments.
-            const jitteredMs = intervalMs * (0.8 + 0.4 * options.random());
+            const jitteredMs = intervalMs() * (0.8 + 0.4 * options.random());
             if (await task()) {
                 backoff.succeed();
                 await clock.sleep(jitteredMs);
@@ -380,10 +382,12 @@
         },
         start() {
             startedMs = clock.now();
-            void repeat(registration.renew, registrations.renewIntervalMs, keysBackoff);
-            void repeat(syncKeys, pollIntervalMs, keysBackoff);
-            void repeat(syncEndpoints, pollIntervalMs, listBackoff);
-            void repeat(syncConfiguration, configurationIntervalMs, listBackoff);
+            void repeat(registration.renew, () => registrations.renewIntervalMs, keysBackoff);
+            void repeat(syncKeys, () => pollIntervalMs, keysBackoff);
+            void repeat(syncEndpoints, () => pollIntervalMs, listBackoff);
+            const configurationPauseMs = (): number =>
+                policy.version === 0 ? firstReadCheckMs : configurationIntervalMs;
+            void repeat(syncConfiguration, configurationPauseMs, listBackoff);
         },
         deregister: () => registration.end(),
         close() {
