--- a/src/proxy/isolated.test.ts
+++ b/src/proxy/isolated.test.ts
@@ -6,11 +6,7 @@
     let fleet: simulatedFleets.Fleet;
 
     beforeEach(() => {
-        let seed = 0;
-        fleet = simulatedFleets.createFleet(4, () => {
-            seed = (seed * 7 + 3) % 101;
-            return seed / 101;
-        });
+        fleet = simulatedFleets.createFleet(4, simulatedFleets.createNumbers());
     });
     afterEach(() => fleet.close());
 
--- a/src/proxy/restored.test.ts
+++ b/src/proxy/restored.test.ts
@@ -74,11 +74,7 @@
     let fleet: simulatedFleets.Fleet;
 
     beforeEach(() => {
-        let seed = 0;
-        fleet = simulatedFleets.createFleet(4, () => {
-            seed = (seed * 7 + 3) % 101;
-            return seed / 101;
-        });
+        fleet = simulatedFleets.createFleet(4, simulatedFleets.createNumbers());
     });
     afterEach(() => fleet.close());
 
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -106,7 +106,7 @@
 const listingRefreshMs = 1_250;
 /** Delay for each poll rank, so that a newer listing can arrive from a host of a lower rank first. */
 const listingRankDelayMs = 350;
-/** Time limit of one watch. A new configuration must apply within 3 s, even if a watch misses the change. */
+/** Time limit of one watch, so that a connection that has gone silent is noticed; the next one goes on from there. */
 const watchTimeoutMs = 2_000;
 /** Time after which the configuration is read although no watch has shown a change. It may be large, so this is rare. */
 const rereadIntervalMs = 30_000;
@@ -115,6 +115,7 @@
  * transfer between hosts. When a whole large fleet starts, its links couldn't carry the configuration to each host.
  */
 const firstReadDelayMs = 2_500;
+/** Delay for each rank in the cell, so that the hosts of a cell that got nothing don't read all at once. */
 const firstReadRankDelayMs = 500;
 /** Interval at which a host without a configuration checks whether it is its turn to read it. */
 const firstReadCheckMs = 20;
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -75,6 +75,15 @@
 
 const silent = { kind: "unreachable" as const };
 
+/** A sequence of numbers in [0, 1) that is the same each time. */
+export function createNumbers(): () => number {
+    let seed = 0;
+    return () => {
+        seed = (seed * 7 + 3) % 101;
+        return seed / 101;
+    };
+}
+
 /** Creates a fleet; nothing runs until its clock moves. */
 export function createFleet(hostCount: number, random: () => number): Fleet {
     const clock = simulation.createClock();
