Bind the failover lock to its lease, and never take a lock back that this host is giving up

Cause: found by a new invariant in the random schedules (two hosts believe that they hold the lock; counterexample: drill, the holder cut from the store, the primary crashes, 2.1 s). A holder whose lease had ended while it was cut off registered again under a new lease, and its old token was valid once more until its next reading of the store, a few ms later. Ruled out: a longer margin of the lease (the belief had ended in time; it came back). Change: a held lock is valid only under the lease that it was written with; a token that is being given up is not taken back. Figures: restored.test and isolated.test check in each step that one host at most holds the lock: red before (random orders), green after.

--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -52,17 +52,20 @@
 export interface HeldLock {
     /** Fencing token of the lock; undefined unless this host is certain to hold it. */
     fencingToken(): number | undefined;
-    /** Records the token of an acquired lock, or undefined once the lock is lost. */
-    set(token: number | undefined): void;
+    /** Records an acquired lock and the lease that it ends with, or undefined once the lock is lost. */
+    set(held: { readonly token: number; readonly lease: number } | undefined): void;
 }
 
-/** Creates the state of a lock that this host doesn't hold. A held lock is valid only while the host's lease is. */
+/**
+ * Creates the state of a lock that this host doesn't hold. A held lock is valid only while its lease is: a host that has
+ * registered again under another lease may have lost the lock in between.
+ */
 export function createHeldLock(storeSync: () => storeSyncs.StoreSync): HeldLock {
-    let token: number | undefined;
+    let held: { readonly token: number; readonly lease: number } | undefined;
     return {
-        fencingToken: () => (storeSync().leaseId() === undefined ? undefined : token),
+        fencingToken: () => (held !== undefined && storeSync().leaseId() === held.lease ? held.token : undefined),
         set(next) {
-            token = next;
+            held = next;
         },
     };
 }
@@ -102,6 +105,8 @@
     let lockFreeSinceMs: number | undefined;
     let acquiring = false;
     let heldToken: number | undefined;
+    /** Token of the lock that this host is giving up, or has given up, though a snapshot may still show it. */
+    let releasedToken: number | undefined;
     /** True if this host held the lock of the previous era when it learned of the current one. */
     let heldInPreviousEra = false;
     let settled = false;
@@ -256,7 +261,7 @@
             deletes: [],
         });
         if (acquired.isOk()) {
-            setHeld(storeEras.order(era, acquired.value));
+            setHeld(storeEras.order(era, acquired.value), lease);
         }
         // Without a response, the next snapshot shows whether the lock was acquired.
         acquiring = false;
@@ -277,11 +282,11 @@
         restoring = false;
     }
 
-    function setHeld(next: number): void {
-        if (heldToken !== next) {
-            heldToken = next;
-            lock.set(next);
-            events.emit("dutyTaken", { token: next });
+    function setHeld(token: number, lease: number): void {
+        if (heldToken !== token && token !== releasedToken) {
+            heldToken = token;
+            lock.set({ token, lease });
+            events.emit("dutyTaken", { token });
         }
     }
 
@@ -305,6 +310,7 @@
     /** Deletes the lock from the store, if no replacement is under way any longer that rests on it. */
     async function releaseLock(): Promise<void> {
         const [era, token] = [options.era.current(), lock.fencingToken()];
+        releasedToken = token;
         lock.set(undefined);
         heldToken = undefined;
         // An attempt that is under way ends before its next call, as the token is gone.
@@ -343,7 +349,7 @@
                 lockFreeSinceMs = undefined;
             }
             if (failoverLock?.holder === self.id && failoverLock.incarnation === self.incarnation) {
-                setHeld(failoverLock.fencingToken);
+                setHeld(failoverLock.fencingToken, failoverLock.lease);
             }
             else if (heldToken !== undefined && (failoverLock === undefined || failoverLock.fencingToken > heldToken)) {
                 heldToken = undefined;
--- a/src/proxy/isolated.test.ts
+++ b/src/proxy/isolated.test.ts
@@ -18,7 +18,9 @@
         const [holder = 0] = holders();
         fleet.cutFromPeers.add(holder);
         fleet.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
-        await fleet.clock.advance(4_000);
+        const rivals: string[] = [];
+        await fleet.clock.advance(4_000, () => rivals.push(...simulatedFleets.rivalHolders(fleet)));
+        chai.expect(rivals).to.deep.equal([]);
         chai.expect(fleet.promotions).to.deep.equal([]);
         chai.expect(holders()).to.have.length(2);
         chai.expect(holders()[1]).not.to.equal(holder);
@@ -29,6 +31,20 @@
         chai.expect(fleet.promotions.map(promotion => promotion.holder)).to.deep.equal([`host-${holders()[1]}`]);
     });
 
+    it("never leaves two hosts in the belief that they hold the lock, whenever the holder's link fails", async () => {
+        for (let startMs = 5_000; startMs < 6_000; startMs += 45) {
+            const tested = simulatedFleets.createFleet(4, simulatedFleets.createNumbers());
+            await tested.clock.advance(startMs);
+            const holder = tested.hosts.findIndex(host => host.fencingToken() !== undefined);
+            tested.cutFromPeers.add(holder);
+            tested.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
+            const rivals: string[] = [];
+            await tested.clock.advance(3_000, () => rivals.push(...simulatedFleets.rivalHolders(tested)));
+            tested.close();
+            chai.expect(rivals).to.deep.equal([]);
+        }
+    });
+
     it("still replaces a dead primary when all other hosts are dead and no longer registered", async () => {
         await fleet.clock.advance(5_000);
         const [holder = 0] = holders();
--- a/src/proxy/registry.ts
+++ b/src/proxy/registry.ts
@@ -45,6 +45,8 @@
     readonly incarnation: string;
     /** Increases each time the lock is acquired, in whatever era. */
     readonly fencingToken: number;
+    /** Lease with which the lock ends. */
+    readonly lease: number;
 }
 
 /** A record with its revision in the store, the condition for the next change. */
@@ -67,7 +69,9 @@
 
 function parseLock(item: store.Item, era: number): FailoverLock | undefined {
     const parsed = decode.json(lockSchema, item.value);
-    return parsed.isOk() ? { ...parsed.value, fencingToken: storeEra.order(era, item.revision) } : undefined;
+    return parsed.isOk()
+        ? { ...parsed.value, fencingToken: storeEra.order(era, item.revision), lease: item.lease }
+        : undefined;
 }
 
 /** Parses the items below the prefix of an era; an item that can't be parsed is reported in `corruptKeys`. */
--- a/src/proxy/restored.test.ts
+++ b/src/proxy/restored.test.ts
@@ -258,7 +258,11 @@
                 const versions = new Map<number, number>();
                 let version = 1;
                 const check = (nowMs: number): void => {
-                    violations.push(...staleAcknowledgers(tested), ...unsettledProofs(tested));
+                    violations.push(
+                        ...staleAcknowledgers(tested),
+                        ...unsettledProofs(tested),
+                        ...simulatedFleets.rivalHolders(tested),
+                    );
                     tested.hosts.forEach((host, index) => {
                         const inForce = host.storeSync.policy().version;
                         if (!tested.down.has(index) && inForce < (versions.get(index) ?? 0)) {
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -49,6 +49,8 @@
     readonly leadership: leaderships.Leadership;
     readonly storeSync: storeSyncs.StoreSync;
     readonly era: storeEra.StoreEra;
+    /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
+    fencingToken(): number | undefined;
     close(): void;
 }
 
@@ -75,6 +77,14 @@
 
 const silent = { kind: "unreachable" as const };
 
+/** Hosts that believe that they hold the failover lock, if there are several. */
+export function rivalHolders(fleet: Fleet): readonly string[] {
+    const holders = fleet.hosts.flatMap((host, index) =>
+        fleet.down.has(index) || host.fencingToken() === undefined ? [] : [`host-${index}`]
+    );
+    return holders.length > 1 ? [`${holders.join(" and ")} hold the lock`] : [];
+}
+
 /** A sequence of numbers in [0, 1) that is the same each time. */
 export function createNumbers(): () => number {
     let seed = 0;
@@ -324,6 +334,7 @@
             leadership,
             storeSync,
             era,
+            fencingToken: () => lock.fencingToken(),
             close() {
                 closed = true;
                 stopEvaluation();
