Take a lock back that was given up without effect, under a new revision

Cause: by reading: a holder that gives the lock up while the store does not hear it kept renewing the lease that the lock hangs on, and never took the lock back, so that nobody held it any longer. Ruled out: taking the old token back (a late deletion would meet the lock while it is held). Change: once its hold-off is over, the host writes the lock again on condition of the old revision. Conclusion: no two holders, and none missing, over the cuts tried.

--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -107,6 +107,8 @@
     let heldToken: number | undefined;
     /** Token of the lock that this host is giving up, or has given up, though a snapshot may still show it. */
     let releasedToken: number | undefined;
+    /** Revision of that lock if the newest snapshot shows it, 0 otherwise: the condition for acquiring the lock. */
+    let releasedRevision = 0;
     /** True if this host held the lock of the previous era when it learned of the current one. */
     let heldInPreviousEra = false;
     let settled = false;
@@ -256,7 +258,8 @@
         const key = registry.failoverLockKey(era);
         const value = JSON.stringify({ holder: self.id, incarnation: self.incarnation });
         const acquired = await client.change({
-            conditions: [{ key, revision: 0 }],
+            // A lock that this host gave up without effect gets a new revision, so that a late deletion does not meet it.
+            conditions: [{ key, revision: releasedRevision }],
             writes: [{ key, value, lease }],
             deletes: [],
         });
@@ -342,7 +345,9 @@
             replacer.observe(snapshot.records);
             const { failoverLock } = snapshot;
             settled = snapshot.settled;
-            if (failoverLock === undefined) {
+            const showsReleased = failoverLock !== undefined && failoverLock.fencingToken === releasedToken;
+            releasedRevision = showsReleased ? storeEras.numberOf(failoverLock.fencingToken) : 0;
+            if (failoverLock === undefined || showsReleased) {
                 lockFreeSinceMs ??= clock.now();
             }
             else {
@@ -363,6 +368,7 @@
             heldToken = undefined;
             lock.set(undefined);
             lockFreeSinceMs = undefined;
+            releasedRevision = 0;
             settled = false;
             replacer.storeRestored();
         },
--- a/src/proxy/isolated.test.ts
+++ b/src/proxy/isolated.test.ts
@@ -45,6 +45,29 @@
         }
     });
 
+    it("holds the lock or leaves it to another host within 7 s when the store does not hear that it is given up", async () => {
+        for (let cutAfterMs = 900; cutAfterMs < 1_500; cutAfterMs += 50) {
+            const tested = simulatedFleets.createFleet(4, simulatedFleets.createNumbers());
+            await tested.clock.advance(5_000);
+            const holder = tested.hosts.findIndex(host => host.fencingToken() !== undefined);
+            tested.cutFromPeers.add(holder);
+            tested.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
+            const rivals: string[] = [];
+            const check = (): void => void rivals.push(...simulatedFleets.rivalHolders(tested));
+            await tested.clock.advance(cutAfterMs, check);
+            tested.cutFromStore.add(holder);
+            await tested.clock.advance(500, check);
+            tested.cutFromStore.clear();
+            tested.cutFromPeers.clear();
+            tested.endpoints.forEach(endpoint => endpoint.cutFrom.clear());
+            await tested.clock.advance(7_000, check);
+            const isHeld = tested.hosts.some(host => host.fencingToken() !== undefined);
+            tested.close();
+            chai.expect(rivals).to.deep.equal([]);
+            chai.expect(isHeld, `held after a cut at ${cutAfterMs} ms`).to.equal(true);
+        }
+    });
+
     it("still replaces a dead primary when all other hosts are dead and no longer registered", async () => {
         await fleet.clock.advance(5_000);
         const [holder = 0] = holders();
