--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import * as fs from "node:fs";
 import * as control from "./control.js";
 import * as failover from "./failover.js";
+import * as hosts from "./hosts.js";
 import * as organisations from "./organisations.js";
 import * as path from "./path.js";
 import * as quota from "./quota.js";
@@ -16,6 +17,7 @@
     organisations: organisations.run,
     quota: quota.run,
     control: control.run,
+    hosts: hosts.run,
 };
 const resultsDirectory = "bench/results";
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,6 +29,10 @@
             "no-restricted-globals": ["error", "setTimeout", "setInterval", "process"],
         },
     },
+    {
+        files: ["**/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["**/*.test.ts"],
         rules: { "@typescript-eslint/no-unused-expressions": "off" },
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -1,4 +1,7 @@
-/** gRPC channels and servers. Messages are encoded as MessagePack, and both ends validate what they receive. */
+/**
+ * gRPC channels and servers. Messages are encoded as MessagePack, and both ends validate what they receive. Calls share
+ * one stream a channel, except those with large messages, which would hold up the others.
+ */
 import * as grpc from "@grpc/grpc-js";
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
@@ -6,6 +9,7 @@
 import * as failure from "../core/failure.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
+import * as callStreams from "./callstream.js";
 
 const packer = new msgpackr.Packr({ useRecords: true, encodeUndefinedAsNil: false });
 const maxMessageBytes = 32 * 1024 * 1024;
@@ -27,6 +31,7 @@
 const methodPath = (name: string): string => `/hyssophatch/${name}`;
 const encode = (value: unknown): Buffer => packer.pack(value);
 const identity = (value: Buffer): Buffer => value;
+const codec: callStreams.Codec = { encode, decode: bytes => packer.unpack(bytes) as unknown };
 
 function malformedFailure(subject: string, message: string): failure.Failure {
     return failure.create(failure.Code.messageMalformed, subject, `Message ${subject} is malformed: ${message}.`);
@@ -41,15 +46,11 @@
     }
 }
 
-function decodeAs<T>(schema: z.ZodType<T>, bytes: Buffer, subject: string): neverthrow.Result<T, failure.Failure> {
-    return decode(bytes)
-        .mapErr(message => malformedFailure(subject, message))
-        .andThen(value => {
-            const parsed = schema.safeParse(value);
-            return parsed.success
-                ? neverthrow.ok(parsed.data)
-                : neverthrow.err(malformedFailure(subject, parsed.error.message));
-        });
+function check<T>(schema: z.ZodType<T>, value: unknown, subject: string): neverthrow.Result<T, failure.Failure> {
+    const parsed = schema.safeParse(value);
+    return parsed.success
+        ? neverthrow.ok(parsed.data)
+        : neverthrow.err(malformedFailure(subject, parsed.error.message));
 }
 
 /** Creates the handler of a method; a request that does not match the method's schema gets a failure. */
@@ -60,7 +61,7 @@
     return {
         name: method.name,
         async handle(request): Promise<Envelope> {
-            const checked = decodeAs(method.request, request as Buffer, method.name);
+            const checked = check(method.request, request, method.name);
             const outcome = checked.isErr() ? neverthrow.err(checked.error) : await answer(checked.value);
             return outcome.isOk() ? { value: outcome.value } : { failure: outcome.error };
         },
@@ -78,24 +79,49 @@
 export async function serve(host: string, port: number, handlers: readonly network.Handler[]): Promise<Server> {
     const server = new grpc.Server({ "grpc.max_receive_message_length": maxMessageBytes });
     const definition: Record<string, grpc.MethodDefinition<Buffer, Buffer>> = {};
-    const implementation: Record<string, grpc.handleUnaryCall<Buffer, Buffer>> = {};
-    for (const handler of handlers) {
-        definition[handler.name] = {
-            path: methodPath(handler.name),
-            requestStream: false,
-            responseStream: false,
+    const implementation: grpc.UntypedServiceImplementation = {};
+    const byName = new Map(handlers.map(handler => [handler.name, handler]));
+
+    function define(name: string, streamed: boolean): void {
+        definition[name] = {
+            path: methodPath(name),
+            requestStream: streamed,
+            responseStream: streamed,
             requestSerialize: identity,
             requestDeserialize: identity,
             responseSerialize: identity,
             responseDeserialize: identity,
         };
-        implementation[handler.name] = (call, callback) => {
-            handler.handle(call.request).then(
-                value => callback(null, encode(value)),
-                thrown => callback({ code: grpc.status.INTERNAL, details: String(thrown) }),
-            );
+    }
+
+    /** Runs a call; an unknown method and a handler that throws give a failure. */
+    async function run(name: string, request: unknown): Promise<unknown> {
+        try {
+            const handler = byName.get(name);
+            return handler === undefined
+                ? { failure: malformedFailure(name, "no such method") }
+                : await handler.handle(request);
+        }
+        catch (thrown) {
+            return {
+                failure: failure.create(failure.Code.peerUnreachable, name, `Call ${name} failed: ${String(thrown)}.`),
+            };
+        }
+    }
+
+    for (const { name } of handlers) {
+        define(name, false);
+        implementation[name] = (call: grpc.ServerUnaryCall<Buffer, Buffer>, callback: grpc.sendUnaryData<Buffer>) => {
+            const request = decode(call.request);
+            const reply = request.isOk()
+                ? run(name, request.value)
+                : Promise.resolve({ failure: malformedFailure(name, request.error) });
+            void reply.then(value => callback(null, encode(value)));
         };
     }
+    define(callStreams.methodName, true);
+    implementation[callStreams.methodName] = (stream: grpc.ServerDuplexStream<Buffer, Buffer>) =>
+        callStreams.serve(stream, codec, run);
     server.addService(definition, implementation);
     const boundPort = await new Promise<number>((resolve, reject) => {
         server.bindAsync(`${host}:${port}`, grpc.ServerCredentials.createInsecure(), (error, assignedPort) => {
@@ -116,7 +142,11 @@
 }
 
 /** Converts a gRPC error. Only a connection that was never established shows that the request was not sent. */
-function toFailure(address: string, name: string, error: grpc.ServiceError): failure.Failure {
+function toFailure(
+    address: string,
+    name: string,
+    error: { readonly code: number | undefined; readonly details: string },
+): failure.Failure {
     const notSent = error.code === grpc.status.UNAVAILABLE
         && /ECONNREFUSED|No connection established/.test(error.details);
     const code = notSent ? failure.Code.ownerUnreachable : failure.Code.peerUnreachable;
@@ -137,7 +167,84 @@
             "grpc.max_reconnect_backoff_ms": maxReconnectMs,
             "grpc.enable_retries": 0,
         });
+        let stream: callStreams.CallStream | undefined;
+        /** False once the other process turned out to be of a version that doesn't serve the stream of calls. */
+        let streamSupported = true;
         let closed = false;
+
+        function openStream(): callStreams.CallStream {
+            if (stream?.isOpen() !== true) {
+                const opened = client.makeBidiStreamRequest(
+                    methodPath(callStreams.methodName),
+                    identity,
+                    identity,
+                );
+                stream = callStreams.create(opened, codec);
+            }
+            return stream;
+        }
+
+        function callOnce<Request, Reply>(
+            method: messages.Method<Request, Reply>,
+            request: Request,
+            timeoutMs: number,
+        ): network.Outcome<Reply> {
+            const bytes = encode(request);
+            return new Promise(resolve => {
+                // gRPC deadlines are wall-clock times, and the wall clock may jump.
+                const timer = setTimeout(() => call.cancel(), timeoutMs);
+                const call = client.makeUnaryRequest(
+                    methodPath(method.name),
+                    identity,
+                    identity,
+                    bytes,
+                    (error, reply) => {
+                        clearTimeout(timer);
+                        meter(method.name, address, bytes.length, reply?.length ?? 0);
+                        if (error !== null || reply === undefined) {
+                            const { code, details } = error ?? { code: undefined, details: "the reply is missing" };
+                            resolve(neverthrow.err(toFailure(address, method.name, { code, details })));
+                            return;
+                        }
+                        const value = decode(reply).mapErr(message => malformedFailure(method.name, message));
+                        resolve(value.andThen(decoded => checkReply(method, decoded)));
+                    },
+                );
+            });
+        }
+
+        function callOnStream<Request, Reply>(
+            method: messages.Method<Request, Reply>,
+            request: Request,
+            timeoutMs: number,
+        ): network.Outcome<Reply> {
+            return new Promise(resolve => {
+                const startedMs = performance.now();
+                const timer = setTimeout(() => {
+                    call.cancel();
+                    const details = `no reply within ${Math.round(timeoutMs)} ms`;
+                    resolve(neverthrow.err(toFailure(address, method.name, { code: undefined, details })));
+                }, timeoutMs);
+                const call = openStream().call(method.name, request, {
+                    reply(value, receivedBytes) {
+                        clearTimeout(timer);
+                        meter(method.name, address, call.sentBytes, receivedBytes);
+                        resolve(checkReply(method, value));
+                    },
+                    failed(cause) {
+                        clearTimeout(timer);
+                        if (cause.code === grpc.status.UNIMPLEMENTED && !cause.established && !closed) {
+                            streamSupported = false;
+                            resolve(callOnce(method, request, timeoutMs - (performance.now() - startedMs)));
+                            return;
+                        }
+                        const error = cause.established ? { ...cause, code: undefined } : cause;
+                        resolve(neverthrow.err(toFailure(address, method.name, error)));
+                    },
+                });
+            });
+        }
+
         return {
             call(method, request, timeoutMs) {
                 if (closed) {
@@ -145,30 +252,14 @@
                     const cause = failure.create(failure.Code.peerUnreachable, address, message, reconnectMs);
                     return Promise.resolve(neverthrow.err(cause));
                 }
-                const bytes = encode(request);
-                return new Promise(resolve => {
-                    // gRPC deadlines are wall-clock times, and the wall clock may jump.
-                    const timer = setTimeout(() => call.cancel(), timeoutMs);
-                    const call = client.makeUnaryRequest(
-                        methodPath(method.name),
-                        identity,
-                        identity,
-                        bytes,
-                        (error, reply) => {
-                            clearTimeout(timer);
-                            meter(method.name, address, bytes.length, reply?.length ?? 0);
-                            if (error !== null || reply === undefined) {
-                                resolve(neverthrow.err(toFailure(address, method.name, error as grpc.ServiceError)));
-                                return;
-                            }
-                            resolve(decodeReply(method, reply));
-                        },
-                    );
-                });
+                return streamSupported && method.large !== true
+                    ? callOnStream(method, request, timeoutMs)
+                    : callOnce(method, request, timeoutMs);
             },
             close() {
                 closed = true;
                 channels.delete(address);
+                stream?.close();
                 client.close();
             },
         };
@@ -187,17 +278,11 @@
     };
 }
 
-function decodeReply<Request, Reply>(
+function checkReply<Request, Reply>(
     method: messages.Method<Request, Reply>,
-    bytes: Buffer,
+    value: unknown,
 ): neverthrow.Result<Reply, failure.Failure> {
-    return decodeAs(envelope, bytes, method.name).andThen(reply => {
-        if (reply.failure !== undefined) {
-            return neverthrow.err(reply.failure);
-        }
-        const parsed = method.reply.safeParse(reply.value);
-        return parsed.success
-            ? neverthrow.ok(parsed.data)
-            : neverthrow.err(malformedFailure(method.name, parsed.error.message));
-    });
+    return check(envelope, value, method.name).andThen(reply =>
+        reply.failure === undefined ? check(method.reply, reply.value, method.name) : neverthrow.err(reply.failure)
+    );
 }
--- a/src/core/cells.ts
+++ b/src/core/cells.ts
@@ -14,6 +14,9 @@
 /** Sorted ids of the hosts of each cell, by the cell's name. */
 export type HostsByCell = ReadonlyMap<string, readonly string[]>;
 
+/** Name of each host's cell, by what it depends on: the host and the number of cells of its failure domain. */
+export type CellNames = Map<string, string>;
+
 /** Up to this number, all hosts form a single cell. */
 export const maxHostsOfSingleCell = 16;
 /**
@@ -21,21 +24,25 @@
  * each direction, at some 1.3 ms of processor time each. A delegate handles one more for every other cell.
  */
 export const targetHostsPerCell = 8;
+/** Names kept between assignments: several times the hosts of a large fleet, as the number of cells changes. */
+const maxKeptNames = 16_384;
 /** Number of delegates of a cell: it stays connected to other cells when one delegate fails. */
 export const delegatesPerCell = 2;
 
 /**
  * Assigns hosts to cells. More than `maxHostsOfSingleCell` hosts are grouped by failure domain, and those of a large
  * failure domain by rendezvous hashing of their ids, so that few hosts change cells when one joins or leaves.
+ *
+ * A caller that assigns again and again passes the same `names`, which keep the results of the hashing.
  */
-export function assign(hosts: readonly Host[]): HostsByCell {
+export function assign(hosts: readonly Host[], names: CellNames = new Map()): HostsByCell {
     const cells = new Map<string, string[]>();
     const sizes = new Map<string, number>();
     hosts.forEach(host => sizes.set(host.failureDomain, (sizes.get(host.failureDomain) ?? 0) + 1));
     for (const { id, failureDomain } of hosts) {
         const name = hosts.length <= maxHostsOfSingleCell
             ? ""
-            : cellName(id, failureDomain, sizes.get(failureDomain) ?? 1);
+            : cellName(id, failureDomain, sizes.get(failureDomain) ?? 1, names);
         const cell = cells.get(name) ?? [];
         cell.push(id);
         cells.set(name, cell);
@@ -44,8 +51,18 @@
     return cells;
 }
 
-function cellName(id: string, failureDomain: string, hostCount: number): string {
+function cellName(id: string, failureDomain: string, hostCount: number, names: CellNames): string {
     const cellCount = Math.ceil(hostCount / targetHostsPerCell);
-    const names = Array.from({ length: cellCount }, (_, number) => `${failureDomain}/${number}`);
-    return rendezvous.rank(id, names)[0] ?? failureDomain;
+    const key = `${cellCount} ${failureDomain}/${id}`;
+    const known = names.get(key);
+    if (known !== undefined) {
+        return known;
+    }
+    const candidates = Array.from({ length: cellCount }, (_, number) => `${failureDomain}/${number}`);
+    const name = rendezvous.pick(id, candidates) ?? failureDomain;
+    if (names.size >= maxKeptNames) {
+        names.clear();
+    }
+    names.set(key, name);
+    return name;
 }
--- a/src/core/connectionshares.ts
+++ b/src/core/connectionshares.ts
@@ -13,14 +13,13 @@
 const spareMargin = 2;
 /** Guaranteed connections of each host where there are enough of them: one transaction and one statement. */
 const minGuaranteed = 3;
-const maxCachedRankings = 4_096;
 
 /** Computes shares, and caches the ranking of the hosts for each endpoint. */
 export interface Allocator {
     /**
      * The share of the host `self`.
      * @param maxConnections Connections that the endpoint accepts from all hosts together.
-     * @param hosts Ids of all hosts, `self` included.
+     * @param hosts Ids of all hosts, `self` included. An unchanged list should be the same array, whose ranks are kept.
      * @param open Connections that all hosts together have open at the moment.
      */
     allocate(maxConnections: number, endpoint: string, hosts: readonly string[], self: string, open: number): Share;
@@ -31,19 +30,19 @@
  * that no host is favoured at all endpoints.
  */
 export function createAllocator(): Allocator {
-    const rankings = new Map<string, readonly string[]>();
+    let rankedHosts: readonly string[] = [];
+    /** Rank of the host `self` by endpoint, for `rankedHosts`. */
+    let ranks = new Map<string, number>();
 
     function rankOf(endpoint: string, hosts: readonly string[], self: string): number {
-        const key = `${endpoint} ${hosts.join(" ")}`;
-        const cached = rankings.get(key);
-        const ranking = cached ?? rendezvous.rank(endpoint, hosts);
-        if (cached === undefined) {
-            if (rankings.size >= maxCachedRankings) {
-                rankings.clear();
-            }
-            rankings.set(key, ranking);
+        if (hosts !== rankedHosts) {
+            rankedHosts = hosts;
+            ranks = new Map();
         }
-        return ranking.indexOf(self);
+        const key = `${endpoint} ${self}`;
+        const rank = ranks.get(key) ?? rendezvous.rank(endpoint, hosts).indexOf(self);
+        ranks.set(key, rank);
+        return rank;
     }
 
     return {
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -2,7 +2,7 @@
 import * as crypto from "node:crypto";
 
 function weightOf(key: string, member: string): string {
-    return crypto.createHash("sha1").update(key).update("\0").update(member).digest("hex");
+    return crypto.hash("sha1", `${key}\0${member}`, "hex");
 }
 
 /** Members by descending weight for the key. `rank("orders/ro-nord", ["h1", "h2"])` */
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -9,6 +9,8 @@
     readonly name: string;
     readonly request: z.ZodType<Request>;
     readonly reply: z.ZodType<Reply>;
+    /** True when requests or replies are large, so that other calls to the same process must not wait behind them. */
+    readonly large?: boolean;
 }
 
 function method<Request, Reply>(
--- a/src/ports/network.ts
+++ b/src/ports/network.ts
@@ -27,5 +27,6 @@
 /** Handler of one remote method. */
 export interface Handler {
     readonly name: string;
+    /** Checks the request and answers it with a value or a failure. */
     handle(request: unknown): Promise<unknown>;
 }
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -332,6 +332,7 @@
                 clock.every(checkIntervalMs, () => {
                     clusterView().checkSuspension();
                     clusterView().evaluateProof();
+                    clusterView().groups().forEach(group => group.sweepPools());
                     reportReadiness();
                 }),
                 clock.every(usageReportIntervalMs, () => applyUsageReports(startMs)),
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -72,8 +72,10 @@
     cellRank(): number;
     /** The summaries of cells to send to the host of that id. */
     cellSummaries(digest: LocalDigest, receiverId: string | undefined): readonly messages.CellSummary[];
-    /** Hosts that this one polls. */
+    /** Hosts that this one polls in the next round. */
     gossipTargets(): readonly PeerState[];
+    /** True if the host is of another cell, which needs this cell's summary and not the usage of single hosts. */
+    isOfOtherCell(id: string): boolean;
     /** Usage by organisation of the other hosts, from which the limiter derives the share of this one. */
     usageReports(): limiters.UsageReports;
     /** Statements and connections of the other hosts at an endpoint. */
@@ -82,6 +84,11 @@
     peerProofs(): readonly leadership.PeerProof[];
 }
 
+/**
+ * Age of a cell's newest summary from which the other delegates poll that cell too. Covers a poll of the first delegate
+ * and the way to the others; leaves time for one more poll before the summary is too old to be used.
+ */
+const maxFirstDelegateAgeMs = 2_000;
 /** Silence after which a host is suspected: it covers two polls in each direction. */
 const suspectTimeoutMs = 2_000;
 
@@ -109,12 +116,13 @@
     const isSuspected = createFailureDetector(clock);
     const remote = remoteCellViews.createRemoteCells();
     const admissionCounter = admissions.createCounter(options.baselineId);
+    const cellNames: cellAssignment.CellNames = new Map();
     let hostsByCell: cellAssignment.HostsByCell | undefined;
     let cellByHost: ReadonlyMap<string, string> | undefined;
 
     /** All known hosts by cell, this one included. */
     function assignCells(): cellAssignment.HostsByCell {
-        hostsByCell ??= cellAssignment.assign([self, ...[...peers.values()].map(peer => peer.member)]);
+        hostsByCell ??= cellAssignment.assign([self, ...[...peers.values()].map(peer => peer.member)], cellNames);
         return hostsByCell;
     }
 
@@ -150,14 +158,20 @@
         return eligible.slice(0, cellAssignment.delegatesPerCell);
     }
 
-    /** Delegates of the other cells that this host polls if it is a delegate: in each cell the one of the same rank. */
+    /**
+     * Delegates of the other cells that this host polls if it is a delegate: in each cell the one of the same rank. The
+     * first delegate polls all cells, the others only those that the first one has not heard of lately.
+     */
     function counterpartDelegates(): readonly PeerState[] {
         const ownCell = cellOf(self.id);
         const rank = delegatesOf(assignCells().get(ownCell) ?? []).indexOf(self.id);
         if (rank < 0) {
             return [];
         }
-        return otherCells().flatMap(([, ids]) => {
+        const due = otherCells().filter(([name]) =>
+            rank === 0 || remote.summaryAgeMs(name, clock.now()) > maxFirstDelegateAgeMs
+        );
+        return due.flatMap(([, ids]) => {
             const delegates = delegatesOf(ids);
             return peers.get(delegates[Math.min(rank, delegates.length - 1)] ?? "") ?? [];
         });
@@ -240,6 +254,7 @@
         cellCount: () => assignCells().size,
         cellRank: () => (assignCells().get(cellOf(self.id)) ?? []).indexOf(self.id),
         gossipTargets: () => [...cellPeers(), ...counterpartDelegates()],
+        isOfOtherCell: id => cellOf(id) !== "" && cellOf(id) !== cellOf(self.id),
         usageReports() {
             const nowMs = clock.now();
             const cellReports = cellPeers().filter(peer => !isSuspected(peer) && !peer.member.leaving).flatMap(
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -117,6 +117,8 @@
     invalidateAges(): void;
     /** Creates views of newly listed endpoints, and closes the pools of those that are no longer listed. */
     reconcileEndpoints(): void;
+    /** Fails expired requests and closes surplus idle connections; to be called at short intervals. */
+    sweepPools(): void;
     /** Statements that this host runs or queues, by endpoint. */
     loadByEndpoint(): Readonly<Record<string, number>>;
     /** Open connections of this host, by endpoint. */
@@ -339,6 +341,7 @@
             }
             listed.forEach(endpoint => void view(endpoint));
         },
+        sweepPools: () => views.forEach(entry => entry.pool.sweep()),
         loadByEndpoint: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.load()])),
         connectionsByEndpoint: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.size()])),
         close: () => views.forEach(entry => entry.pool.close()),
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -105,7 +105,11 @@
 /** The part of a digest that rarely changes, and the tables of names that an encoded digest refers to by index. */
 export type DigestHeader = z.infer<typeof digestHeader>;
 
-const numberList = z.array(z.number()).readonly();
+/** A list of numbers, checked in one pass: digests hold hundreds of them, and a schema of each number costs as much. */
+const numberList = z.custom<readonly number[]>(
+    value => Array.isArray(value) && value.every(Number.isFinite),
+    "A list of numbers is expected.",
+);
 
 /**
  * A digest encoded for one receiver, without the header if the receiver has it. Ages are in milliseconds, -1 for none;
@@ -180,19 +184,21 @@
     /** Applies the record of a group's primary. The reply confirms that the host no longer relies on an older one. */
     record: method("record", leadership.schema, empty),
     /** Returns the part of the compressed configuration that begins at the offset. */
-    configuration: method(
-        "configuration",
-        z.object({ offset: z.number().int().min(0) }).readonly(),
-        configurationPart,
-    ),
+    configuration: {
+        ...method("configuration", z.object({ offset: z.number().int().min(0) }).readonly(), configurationPart),
+        large: true,
+    },
     /** Returns the endpoints to a host that can't read the store. */
-    catalogue: method(
-        "catalogue",
-        empty,
-        z.object({
-            endpoints: z.array(endpoint).readonly(),
-            /** Age of the endpoint listing, in milliseconds; absent if there is none. */
-            ageMs: z.number().optional(),
-        }).readonly(),
-    ),
+    catalogue: {
+        ...method(
+            "catalogue",
+            empty,
+            z.object({
+                endpoints: z.array(endpoint).readonly(),
+                /** Age of the endpoint listing, in milliseconds; absent if there is none. */
+                ageMs: z.number().optional(),
+            }).readonly(),
+        ),
+        large: true,
+    },
 } as const;
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -53,7 +53,7 @@
     cellCount(): number;
     /** Rank of this host by id among the hosts of its cell. */
     cellRank(): number;
-    /** Sorted ids of all hosts that may hold connections to endpoints, this one included. */
+    /** Sorted ids of all hosts that may hold connections to endpoints, this one included; the same array while unchanged. */
     connectionHolders(): readonly string[];
     start(): void;
     /** Polls the hosts of this host's cell now, rather than in the course of the next round. */
@@ -75,6 +75,9 @@
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
 
+/** Time for which the list of hosts that may hold connections is used again; it is needed for each question of a pool. */
+const holderListIntervalMs = 100;
+
 /** Creates the gossip of a host that knows no others yet. */
 export function createPeers(options: Options): Peers {
     const { clock } = options;
@@ -88,6 +91,8 @@
     const isSuspected = fleets.createFailureDetector(clock);
     let stopRounds: (() => void) | undefined;
     let pollsInFlight = new Set<string>();
+    let holders: readonly string[] = [];
+    let holdersListedMs = -Infinity;
 
     function addPeer(member: messages.Member): fleets.PeerState {
         const existing = peers.get(member.id);
@@ -144,7 +149,10 @@
         const localDigest = options.localDigest();
         const knownMembers = [...peers.values()].map(peer => peer.member);
         const cellSummaries = fleet.cellSummaries(localDigest, receiver?.member.id);
-        const digest = { ...localDigest, self: options.self(), knownMembers, cellSummaries };
+        const usage = receiver !== undefined && fleet.isOfOtherCell(receiver.member.id)
+            ? { organisationUsage: {}, endpointUsage: {} }
+            : {};
+        const digest = { ...localDigest, ...usage, self: options.self(), knownMembers, cellSummaries };
         return encoder.encode(digest, acknowledgedHeader, receiver?.header?.number);
     }
 
@@ -255,6 +263,19 @@
         return [...peers.values()].filter(peer => !isSuspected(peer));
     }
 
+    function connectionHolders(): readonly string[] {
+        if (clock.now() - holdersListedMs < holderListIntervalMs) {
+            return holders;
+        }
+        holdersListedMs = clock.now();
+        const others = [...peers.values()].filter(peer => peer.registered || !isSuspected(peer));
+        const next = [self.id, ...others.map(peer => peer.member.id)].sort();
+        if (next.length !== holders.length || next.some((id, index) => id !== holders[index])) {
+            holders = next;
+        }
+        return holders;
+    }
+
     return {
         live,
         all: () => [...peers.values()],
@@ -288,14 +309,7 @@
         cellCount: () => fleet.cellCount(),
         cellRank: () => fleet.cellRank(),
         peerProofs: () => fleet.peerProofs(),
-        connectionHolders: () =>
-            [
-                self.id,
-                ...[...peers.values()].filter(peer => peer.registered || !isSuspected(peer)).map(peer =>
-                    peer.member.id
-                ),
-            ]
-                .sort(),
+        connectionHolders,
         start() {
             runRound();
             stopRounds = clock.every(roundIntervalMs, runRound);
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -62,6 +62,8 @@
     load(): number;
     /** Number of connections in use, being opened, or idle. */
     size(): number;
+    /** Fails expired requests, closes idle connections above the guaranteed share, and serves waiting requests. */
+    sweep(): void;
     /** Closes the connections in use; their statements fail without a reply. */
     closeInUse(): void;
     /** Closes idle connections and fails waiting requests; connections in use close when they are returned. */
@@ -90,7 +92,6 @@
 const fullBackoffMs = 2_000;
 /** Time after which an idle connection above the guaranteed share is closed. */
 const idleTimeoutMs = 500;
-const sweepIntervalMs = 100;
 /** Pause before the next connection attempt at an endpoint that is full. */
 const dialRetryMs = 150;
 const defaultRetryAfterMs = 100;
@@ -235,8 +236,10 @@
         }
     }
 
-    /** Fails expired requests, closes idle connections above the guaranteed share, and serves waiting requests. */
     function sweep(): void {
+        if (activeCount + idle.length + queue.length() === 0) {
+            return;
+        }
         const nowMs = clock.now();
         queue.removeExpired(nowMs).forEach(ticket =>
             ticket.value.resolve(neverthrow.err(overloaded(defaultRetryAfterMs)))
@@ -250,8 +253,8 @@
         dispatch();
     }
 
-    const stopSweep = clock.every(sweepIntervalMs, sweep);
     return {
+        sweep,
         acquire(request) {
             return new Promise(resolve => {
                 if (closed) {
@@ -273,7 +276,6 @@
         closeInUse: () => inUse.forEach(entry => entry.connection.close()),
         close() {
             closed = true;
-            stopSweep();
             idle.splice(0).forEach(entry => entry.connection.close());
             queue.removeExpired(Infinity).forEach(ticket =>
                 ticket.value.resolve(neverthrow.err(overloaded(defaultRetryAfterMs)))
--- a/src/proxy/remotecells.ts
+++ b/src/proxy/remotecells.ts
@@ -16,6 +16,8 @@
     summaries(nowMs: number): readonly messages.CellSummary[];
     /** The usage report of each cell. */
     usageReports(nowMs: number): readonly limiters.UsageReport[];
+    /** Age of a cell's newest summary; infinite without one that is recent enough. */
+    summaryAgeMs(cell: string, nowMs: number): number;
     /** Number of suspected hosts of a cell; all registered ones if no summary is recent enough. */
     suspectedHosts(cell: string, registeredHosts: number, nowMs: number): number;
     /** Age of the newest proof among a cell's hosts, and of the last poll of all of them. */
@@ -117,6 +119,7 @@
                     ageMs: nowMs - entry.observedAtMs,
                 }];
             }),
+        summaryAgeMs: (cell, nowMs) => nowMs - (newestSummary(cell, nowMs)?.observedAtMs ?? -Infinity),
         suspectedHosts: (cell, registeredHosts, nowMs) =>
             newestSummary(cell, nowMs)?.summary.suspectedHosts ?? registeredHosts,
         endpointUsage(endpoint, nowMs) {
--- a/tools/format.js
+++ b/tools/format.js
@@ -11,7 +11,7 @@
 const files = sourceDirectories
     .filter(directory => fs.existsSync(directory))
     .flatMap(directory => fs.readdirSync(directory, { recursive: true }).map(name => `${directory}/${name}`))
-    .filter(name => /\.(ts|js)$/.test(name))
+    .filter(name => /\.(ts|js|cjs)$/.test(name))
     .concat("eslint.config.js");
 const checkOnly = process.argv.includes("--check");
 const unformatted = files.filter(file => {
