Give the duties that hosts have for each other to the strongest ones

Cause: hosts of one fleet have 0.227 to 1.35 cores, and the delegates of cells and the holder of the failover lock were chosen by id, so that hosts of a quarter of a core carried the exchanges between cells. Ruled out: choice by present load, which would move duties as load moves. Change: a host's processor capacity (settings) is part of what it says of itself; delegates and the claim to the lock go by capacity, then by id. Fleets of equal hosts are as before.

--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -101,6 +101,7 @@
         failureDomain: settings.failureDomain,
         incarnation: environment.incarnation,
         leaving: false,
+        capacity: settings.processor.share * settings.processor.cores,
     };
     let callers: callerDrain.CallerListener | undefined;
     let stopping = false;
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -3,6 +3,7 @@
  * acts; the lock is a key in the store, bound to the lease of the host's registration.
  */
 import type * as directory from "../core/directory.js";
+import * as duties from "../core/duties.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
 import * as storeEras from "../core/storeera.js";
@@ -336,8 +337,7 @@
 
     /** Rank of this host among those that may acquire the lock; a host waits longer the higher its rank. */
     function rank(): number {
-        const ids = options.peers.live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
-        return ids.filter(id => id < self.id).length;
+        return duties.rank(self, options.peers.live().map(peer => peer.member).filter(member => !member.leaving));
     }
 
     return {
--- a/src/proxy/digestcodec.test.ts
+++ b/src/proxy/digestcodec.test.ts
@@ -9,6 +9,7 @@
     failureDomain: "cluj-a",
     incarnation: "a",
     leaving: false,
+    capacity: 1,
 };
 
 const name = fc.constantFrom("cluj", "iasi", "oradea", "arad", "sibiu");
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -66,6 +66,7 @@
         failureDomain: `domain-${host % failureDomains}`,
         incarnation: String(host),
         leaving: false,
+        capacity: 1,
     });
     const fleet: Fleet = {
         peers: [],
@@ -142,9 +143,9 @@
 
 describe("the choice of the host to fetch the configuration from", () => {
     const peer = (id: string, configurationVersion: number, lastPolledMs: number): fleets.Peer => ({
-        member: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false },
+        member: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false, capacity: 1 },
         digest: {
-            self: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false },
+            self: { id, address: id, failureDomain: "cluj-a", incarnation: id, leaving: false, capacity: 1 },
             configurationVersion,
             storeEra: undefined,
             primaryRecords: [],
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -1,6 +1,7 @@
 /** The other hosts, divided into cells: which of them this host gossips with, and the usage of all of them together. */
 import * as admissions from "../core/admissions.js";
 import * as cellAssignment from "../core/cells.js";
+import * as duties from "../core/duties.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
 import type * as network from "../ports/network.js";
@@ -144,7 +145,7 @@
     }
 
     /**
-     * The delegates of a cell: the first of its hosts that are neither leaving nor unreachable. An unreachable host is
+     * The delegates of a cell: the strongest of its hosts that are neither leaving nor unreachable. An unreachable host is
      * eligible again, and so polled again, when its last failed poll is longer ago than `suspectTimeoutMs`.
      */
     function delegatesOf(ids: readonly string[]): readonly string[] {
@@ -155,7 +156,8 @@
             }
             return !peer.member.leaving && (!peer.unreachable || clock.now() - peer.lastFailedMs > suspectTimeoutMs);
         });
-        return eligible.slice(0, cellAssignment.delegatesPerCell);
+        const carriers = eligible.map(id => peers.get(id)?.member ?? self);
+        return carriers.sort(duties.compare).slice(0, cellAssignment.delegatesPerCell).map(carrier => carrier.id);
     }
 
     /**
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -16,6 +16,8 @@
     incarnation: z.string(),
     /** True once the host has begun to shut down. */
     leaving: z.boolean(),
+    /** Processor capacity of the host, in cores. */
+    capacity: z.number().positive().default(1),
 }).readonly();
 /** The description that a host gives of itself. */
 export type Member = z.infer<typeof member>;
--- a/src/proxy/peers.test.ts
+++ b/src/proxy/peers.test.ts
@@ -15,6 +15,7 @@
     failureDomain: "cluj-a",
     incarnation: String(host),
     leaving: false,
+    capacity: 1,
 });
 
 const emptyDigest: fleets.LocalDigest = {
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -29,6 +29,9 @@
     store: z.string(),
     /** Address of the platform's promotion service. */
     promotions: z.string(),
+    /** Processor capacity: a share of each core, and how many cores' speed the host has. Strong hosts carry the duties. */
+    processor: z.object({ share: z.number().positive(), cores: z.number().positive() }).readonly()
+        .default({ share: 1, cores: 1 }),
     /** Port of the metrics endpoint, on the same interface as `callers`. */
     metricsPort: z.number().int().min(0).max(65_535).default(9_464),
     /** Time from a shutdown request to the end of the process, in milliseconds. */
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -218,6 +218,7 @@
             failureDomain: "zone-0",
             incarnation,
             leaving: false,
+            capacity: 1,
         };
         let closed = false;
         const eventLog: eventLogs.EventLog = {
