--- a/scenarios/01-sessions.feature
+++ b/scenarios/01-sessions.feature
@@ -4,14 +4,12 @@
     Given 3 hosts for Roata with replicas 200 ms behind
     And a load of roaming sessions
     When 4000 ms pass
-    And 25 more writes are acknowledged within 40 s
     Then no acknowledged write is lost or doubled and no read was stale
 
   Scenario: sessions roam across regions with their delays
     Given 6 hosts for Fraser with the delays of its regions
     And a load of roaming sessions
     When 5000 ms pass
-    And 25 more writes are acknowledged within 40 s
     Then no acknowledged write is lost or doubled and no read was stale
 
   Scenario: two hosts each believe that they own the database
--- a/scenarios/steps/promises.ts
+++ b/scenarios/steps/promises.ts
@@ -17,16 +17,23 @@
 const inForceMs = 5_000;
 const pollMs = 20;
 const recoveredMs = 17_000;
+/** Acknowledged writes without which a check for lost and doubled ones means little. */
+const minAcknowledged = 20;
+/** Time that the load gets for them. */
+const volumeTimeoutMs = 40_000;
 /** Start of a second edit while a first, slowed by the store, is half done. */
 const overlapMs = 400;
 const accessCodes = /HP1001|HP1002/;
 
 async function verify(stage: stages.Stage): Promise<void> {
+    // On a busy machine the load is slow, and the check needs some writes, not some time.
+    const hasVolume = (): boolean => (stage.load?.account().acknowledged.length ?? 0) > minAcknowledged;
+    await clusters.eventually("writes are acknowledged", volumeTimeoutMs, hasVolume).catch(() => undefined);
     await stage.load?.stop();
     const account = stage.load?.account();
     const acknowledged = account?.acknowledged ?? [];
     const found = await audits.audit(stages.platformOf(stage), table, acknowledged);
-    chai.expect(acknowledged.length, "acknowledged writes").to.be.greaterThan(20);
+    chai.expect(acknowledged.length, "acknowledged writes").to.be.greaterThan(minAcknowledged);
     chai.expect(found, "lost or doubled").to.deep.equal({ lost: 0, doubled: 0 });
     chai.expect(account?.stale, "stale reads").to.equal(0);
 }
