Keep the endpoints of each group in a list

Cause: each question for a group's endpoints built a list of all endpoints and filtered it, several times a statement. Change: the lists are built when the listing changes.

--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -68,6 +68,9 @@
 /** Creates an empty directory. */
 export function createDirectory(options: Options): Directory {
     let entries = new Map<string, Entry>();
+    let endpoints: readonly Endpoint[] = [];
+    /** The endpoints of each group, which every statement asks for. */
+    let endpointsByGroup = new Map<string, Endpoint[]>();
     const departed = new Map<string, { readonly endpoint: Endpoint; readonly atMs: number }>();
     let lastListingMs = -Infinity;
     let mayGoBackUntilMs = -Infinity;
@@ -104,10 +107,16 @@
             }
             lastListingMs = requestedAtMs;
             entries = next;
+            endpoints = [...entries.values()].map(entry => entry.endpoint);
+            endpointsByGroup = new Map();
+            for (const endpoint of endpoints) {
+                const group = endpointsByGroup.get(endpoint.group) ?? [];
+                group.push(endpoint);
+                endpointsByGroup.set(endpoint.group, group);
+            }
         },
         find: id => entries.get(id)?.endpoint,
-        inGroup: group =>
-            [...entries.values()].map(entry => entry.endpoint).filter(endpoint => endpoint.group === group),
-        all: () => [...entries.values()].map(entry => entry.endpoint),
+        inGroup: group => endpointsByGroup.get(group) ?? [],
+        all: () => endpoints,
     };
 }
