Let simulated hosts stand in failure domains and regions, freeze, and count their store calls

Cause: the tests of who reads the store need fleets of several cells, a process that stops for a while, a link between regions that fails, a store that turns single hosts away, and the number of calls by kind. Change: standins/simulatednetwork.ts; a watch waits for a change as long as asked; a pausable clock for each host.

--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -1,15 +1,13 @@
 /** Hosts of the product without their callers, over a simulated store, network and endpoints. */
 import * as neverthrow from "neverthrow";
 import * as directories from "../src/core/directory.js";
-import * as failure from "../src/core/failure.js";
 import * as leaderships from "../src/core/leadership.js";
 import * as limiters from "../src/core/limiter.js";
 import * as policies from "../src/core/policy.js";
 import * as storeEra from "../src/core/storeera.js";
 import type * as connections from "../src/ports/connection.js";
-import type * as rpc from "../src/ports/messages.js";
-import type * as network from "../src/ports/network.js";
 import * as clusterViews from "../src/proxy/clusterview.js";
+import * as configurationTransfer from "../src/proxy/configurationtransfer.js";
 import * as coordinators from "../src/proxy/coordinator.js";
 import type * as eventLogs from "../src/proxy/events.js";
 import * as messages from "../src/proxy/messages.js";
@@ -17,6 +15,7 @@
 import * as replacers from "../src/proxy/replacement.js";
 import * as restorers from "../src/proxy/restoration.js";
 import * as storeSyncs from "../src/proxy/storesync.js";
+import * as simulatedNetworks from "./simulatednetwork.js";
 import * as simulation from "./simulation.js";
 
 /** Name of the only group. */
@@ -55,7 +54,7 @@
 }
 
 /** The hosts and what surrounds them. */
-export interface Fleet {
+export interface Fleet extends simulatedNetworks.Faults {
     readonly clock: simulation.Clock;
     readonly store: simulation.Store;
     readonly endpoints: readonly Endpoint[];
@@ -63,18 +62,21 @@
     readonly promotions: readonly Promotion[];
     /** Events of all hosts, in order. */
     readonly events: readonly (readonly [host: number, name: eventLogs.EventName])[];
-    /** Hosts that can't reach the store. */
-    readonly cutFromStore: Set<number>;
-    /** Hosts that reach no other host. */
-    readonly cutFromPeers: Set<number>;
-    /** Hosts whose processes don't run. */
-    readonly down: Set<number>;
     start(host: number): void;
     kill(host: number): void;
     configure(version: number): void;
     close(): void;
 }
 
+/** The parts of a host that other hosts call. */
+interface Running {
+    readonly peers: gossip.Peers;
+    readonly clusterView: clusterViews.ClusterView;
+    readonly storeSync: storeSyncs.StoreSync;
+    readonly directory: directories.Directory;
+    readonly source: configurationTransfer.Source;
+}
+
 const silent = { kind: "unreachable" as const };
 
 /** Hosts that believe that they hold the failover lock, if there are several. */
@@ -95,9 +97,14 @@
 }
 
 /** Creates a fleet; nothing runs until its clock moves. */
-export function createFleet(hostCount: number, random: () => number): Fleet {
+export function createFleet(
+    hostCount: number,
+    random: () => number,
+    topology: simulatedNetworks.Topology = simulatedNetworks.singleDomain,
+): Fleet {
     const clock = simulation.createClock();
     const simulatedStore = simulation.createStore(clock);
+    const faults = simulatedNetworks.createFaults();
     const endpoints: Endpoint[] = ["i-1", "i-2", "i-3"].map((id, index) => ({
         id,
         primary: index === 0,
@@ -107,8 +114,7 @@
     }));
     const promotions: Promotion[] = [];
     const events: (readonly [number, eventLogs.EventName])[] = [];
-    const [cutFromStore, cutFromPeers, down] = [new Set<number>(), new Set<number>(), new Set<number>()];
-    const running: { peers: gossip.Peers; clusterView: clusterViews.ClusterView }[] = [];
+    const running: Running[] = [];
     let starts = 0;
 
     const put = (version: number): void => simulatedStore.put("op/config", String(version));
@@ -178,54 +184,57 @@
         return neverthrow.ok(true);
     }
 
-    function networkOf(from: number): network.Network {
-        return {
-            openChannel: address => ({
-                async call<Request, Reply>(method: rpc.Method<Request, Reply>, request: Request) {
-                    const to = Number(address);
-                    const lost = neverthrow.err(failure.create(failure.Code.peerUnreachable, address, "no answer"));
-                    await clock.sleep(peerDelayMs);
-                    if (down.has(to)) {
-                        return neverthrow.err(failure.create(failure.Code.ownerUnreachable, address, "refused"));
-                    }
-                    const remote = running[to];
-                    if (remote === undefined || down.has(from) || [from, to].some(host => cutFromPeers.has(host))) {
-                        return lost;
-                    }
-                    if (method.name === messages.peer.record.name) {
-                        await remote.clusterView.applyAndFence(request as leaderships.Record);
-                        return neverthrow.ok(method.reply.parse({}));
-                    }
-                    if (method.name !== messages.peer.exchange.name) {
-                        return lost;
-                    }
-                    const digest = remote.peers.handleExchange(messages.encodedDigest.parse(request));
-                    await clock.sleep(peerDelayMs);
-                    return neverthrow.ok(method.reply.parse(digest));
-                },
-                close: () => undefined,
-            }),
-            close: () => undefined,
-        };
+    /** Answers a call from another host. */
+    async function handle(to: number, method: string, request: unknown): Promise<unknown> {
+        const remote = running[to];
+        if (remote === undefined) {
+            return undefined;
+        }
+        switch (method) {
+            case messages.peer.exchange.name:
+                return remote.peers.handleExchange(request as messages.EncodedDigest);
+            case messages.peer.record.name:
+                await remote.clusterView.applyAndFence(request as leaderships.Record);
+                return {};
+            case messages.peer.configuration.name:
+                return remote.source.part((request as { readonly offset: number }).offset);
+            case messages.peer.catalogue.name: {
+                const listedAtMs = remote.storeSync.listedAtMs();
+                const ageMs = listedAtMs === undefined ? undefined : clock.now() - listedAtMs;
+                return { endpoints: remote.directory.all(), ageMs };
+            }
+            default:
+                return undefined;
+        }
+    }
+
+    function linkToStore(host: number): simulation.StoreLink {
+        const isRemote = simulatedNetworks.regionOf(topology, host) > 0;
+        if (faults.cutFromStore.has(host) || (isRemote && faults.regionsCut)) {
+            return "cut";
+        }
+        return faults.refusedByStore.has(host) ? "refused" : "up";
     }
 
     function create(host: number): Host {
         starts += 1;
         const incarnation = String(starts);
+        const failureDomain = `zone-${simulatedNetworks.domainOf(topology, host)}`;
         const self: messages.Member = {
             id: `host-${host}`,
             address: String(host),
-            failureDomain: "zone-0",
+            failureDomain,
             incarnation,
             leaving: false,
         };
         let closed = false;
+        const hostClock = simulation.createPausableClock(clock, () => faults.frozen.has(host));
         const eventLog: eventLogs.EventLog = {
             emit: name => void (closed || events.push([host, name])),
             reportOmitted: () => undefined,
         };
         const era = storeEra.createStoreEra({
-            now: clock.now,
+            now: hostClock.now,
             onRestored() {
                 if (!closed) {
                     eventLog.emit("storeRestored", {});
@@ -233,15 +242,19 @@
                 }
             },
         });
-        const client = simulatedStore.connect(era, () => closed || cutFromStore.has(host));
+        const client = simulatedStore.connect(
+            era,
+            () => (closed ? "cut" : linkToStore(host)),
+            () => simulatedNetworks.untilThawed(clock, faults, host),
+        );
         const leadership = leaderships.createLeadership({ maxProofAgeMs, graceMs });
         const directory = directories.createDirectory({ missingGraceMs: 2_500, outageGapMs: 2_500 });
         const limiter = limiters.createLimiter();
         const peers = gossip.createPeers({
             self: () => self,
             seeds: [],
-            network: networkOf(host),
-            clock,
+            network: simulatedNetworks.createNetwork(host, { clock, topology, faults, handle }),
+            clock: hostClock,
             events: eventLog,
             random,
             localDigest: () => clusterView.localDigest(),
@@ -253,15 +266,15 @@
             era,
             layout: storeLayout,
             directory,
-            clock,
+            clock: hostClock,
             events: eventLog,
             random,
-            proofAgeMs: () => leadership.proofAgeMs(clock.now()),
+            proofAgeMs: () => leadership.proofAgeMs(hostClock.now()),
             newestPeerListing: () => clusterView.newestPeerListing(),
             pollRank: () => clusterView.pollRank(),
             watchesConfiguration: () => clusterView.watchesConfiguration(),
-            cellRank: () => 0,
-            hasSuspectedHosts: () => false,
+            cellRank: () => (peers.cellCount() > 1 ? peers.cellRank() : 0),
+            hasSuspectedHosts: () => peers.usageReports().suspectedHosts > 0,
             holdsFailoverLock: () => lock.fencingToken() !== undefined,
             onSnapshot: (snapshot, requestedAtMs) => clusterView.applyStoreContents(snapshot, requestedAtMs),
             onChange: () => clusterView.configurationChanged(),
@@ -281,7 +294,7 @@
             close: () => undefined,
         };
         const common = {
-            clock,
+            clock: hostClock,
             era,
             events: eventLog,
             store: client,
@@ -308,9 +321,9 @@
             groups: () => clusterView.groups(),
         });
         const clusterView: clusterViews.ClusterView = clusterViews.createClusterView({
-            failureDomain: "zone-0",
-            regionByFailureDomain: { "zone-0": "region" },
-            clock,
+            failureDomain,
+            regionByFailureDomain: {},
+            clock: hostClock,
             era,
             handoverGraceMs: graceMs,
             events: eventLog,
@@ -325,11 +338,12 @@
             coordinator: () => coordinator,
             onChange: () => undefined,
         });
-        running[host] = { peers, clusterView };
+        const source = configurationTransfer.createSource(storeSync.configuration);
+        running[host] = { peers, clusterView, storeSync, directory, source };
         peers.start();
         storeSync.start();
         coordinator.start();
-        const stopEvaluation = clock.every(100, () => clusterView.evaluateProof());
+        const stopEvaluation = hostClock.every(100, () => clusterView.evaluateProof());
         return {
             leadership,
             storeSync,
@@ -345,27 +359,25 @@
         };
     }
 
-    const fleet: Fleet = {
+    const fleet: Fleet = Object.assign(faults, {
         clock,
         store: simulatedStore,
         endpoints,
         promotions,
         events,
-        cutFromStore,
-        cutFromPeers,
-        down,
-        hosts: [],
-        start(host) {
-            down.delete(host);
+        hosts: [] as Host[],
+        start(host: number) {
+            faults.down.delete(host);
+            faults.frozen.delete(host);
             fleet.hosts[host] = create(host);
         },
-        kill(host) {
-            down.add(host);
+        kill(host: number) {
+            faults.down.add(host);
             fleet.hosts[host]?.close();
         },
         configure: put,
         close: () => fleet.hosts.forEach(host => host.close()),
-    };
+    });
     for (let host = 0; host < hostCount; host += 1) {
         fleet.start(host);
     }
--- a/standins/simulation.ts
+++ b/standins/simulation.ts
@@ -11,6 +11,8 @@
 }
 
 const stepMs = 5;
+/** Interval at which the timers of a stopped process are tried again. */
+const pauseCheckMs = 10;
 
 /** Creates a clock at 0. */
 export function createClock(): Clock {
@@ -55,6 +57,36 @@
     };
 }
 
+/** The clock of a host whose process may be stopped for a while: its timers fire once it runs again. */
+export function createPausableClock(clock: Clock, isPaused: () => boolean): Clock {
+    function after(ms: number, action: () => void): () => void {
+        const run = (): void => {
+            if (isPaused()) {
+                stop = clock.after(pauseCheckMs, run);
+            }
+            else {
+                action();
+            }
+        };
+        let stop = clock.after(ms, run);
+        return () => stop();
+    }
+
+    return {
+        ...clock,
+        after,
+        sleep: ms => new Promise(resolve => void after(ms, resolve)),
+        every(ms, action) {
+            let stop = after(ms, repeat);
+            function repeat(): void {
+                stop = after(ms, repeat);
+                action();
+            }
+            return () => stop();
+        },
+    };
+}
+
 /** A link that carries one slice of a message after the other, in turn for all messages under way. */
 export interface Link {
     /** Resolves when the message has passed the link. */
@@ -89,10 +121,29 @@
     readonly expiresAtMs: number;
 }
 
+/** Kind of a call to the store. */
+export type CallKind = "read" | "range" | "watch" | "change" | "grant" | "renew";
+
+/** A call that reached the store. */
+export interface Call {
+    readonly atMs: number;
+    readonly kind: CallKind;
+    /** Prefix or key; empty for leases. */
+    readonly subject: string;
+}
+
+/**
+ * State of the link between a host and the store. On one that is cut, calls and their responses are lost; on one that is
+ * refused, the store turns the host away.
+ */
+export type StoreLink = "up" | "cut" | "refused";
+
 /** A store in memory, which can come back from an older copy. */
 export interface Store {
-    /** Client of one host; while `isCut` holds, its calls and their responses are lost. */
-    connect(era: store.Era, isCut: () => boolean): store.Store;
+    /** All calls sent so far, in order, those included that the store did not answer. */
+    readonly calls: readonly Call[];
+    /** Client of one host. The link may change from call to call; `receive` resolves when the host can take a response. */
+    connect(era: store.Era, link: () => StoreLink, receive: () => Promise<void>): store.Store;
     /** Writes as the operator or an endpoint does. */
     put(key: string, value: string): void;
     get(key: string): string | undefined;
@@ -104,6 +155,8 @@
 
 const oneWayMs = 2;
 const timeoutMs = 700;
+/** Interval at which a waiting watch looks for a change. */
+const watchCheckMs = 20;
 
 /** Creates an empty store. */
 export function createStore(clock: runtime.HostClock): Store {
@@ -112,6 +165,7 @@
     let revision = 10;
     let nextLease = 1;
     let era = 1;
+    const calls: Call[] = [];
 
     function expireLeases(): void {
         for (const [id, lease] of leases) {
@@ -156,25 +210,36 @@
     }
 
     return {
-        connect(observer, isCut) {
+        calls,
+        connect(observer, link, receive) {
             async function call<T>(
+                kind: CallKind,
+                subject: string,
                 action: () => neverthrow.Result<T, store.StoreError>,
+                wait: () => Promise<void> = () => Promise.resolve(),
             ): Promise<neverthrow.Result<T, store.StoreError>> {
                 const lost = neverthrow.err({ kind: "unanswered", message: "lost" } as const);
                 const eraAtSend = observer.current();
+                calls.push({ atMs: clock.now(), kind, subject });
                 await clock.sleep(oneWayMs);
-                if (isCut()) {
+                if (link() === "cut") {
                     await clock.sleep(timeoutMs);
                     return lost;
                 }
+                if (link() === "refused") {
+                    await clock.sleep(oneWayMs);
+                    return neverthrow.err({ kind: "refused", message: "turned away" });
+                }
+                await wait();
                 expireLeases();
                 const result = action();
                 const eraOfResponse = era;
                 await clock.sleep(oneWayMs);
-                if (isCut()) {
+                if (link() === "cut") {
                     await clock.sleep(timeoutMs);
                     return lost;
                 }
+                await receive();
                 return storeEra.accept(observer, eraAtSend, eraOfResponse)
                     ? result
                     : neverthrow.err({ kind: "restored", message: "restored" });
@@ -182,31 +247,40 @@
 
             return {
                 read: key =>
-                    call(() => {
+                    call("read", key, () => {
                         const item = items.get(key);
                         return item === undefined
                             ? neverthrow.err({ kind: "missing" })
                             : neverthrow.ok({ item, revision });
                     }),
-                range: prefix => call(() => neverthrow.ok(range(prefix))),
-                async watch(prefix, after, waitMs) {
-                    await clock.sleep(Math.min(waitMs, 100));
-                    return call(() => {
-                        const changed = range(prefix).items.filter(item => item.revision > after);
-                        return after > revision
+                range: prefix => call("range", prefix, () => neverthrow.ok(range(prefix))),
+                watch(prefix, after, waitMs) {
+                    const changed = (): readonly store.Item[] =>
+                        range(prefix).items.filter(item => item.revision > after);
+                    const deadlineMs = clock.now() + waitMs;
+                    const eraAtStart = era;
+                    return call(
+                        "watch",
+                        prefix,
+                        () => (after > revision
                             ? neverthrow.err({ kind: "missing" })
-                            : neverthrow.ok({ items: changed, revision });
-                    });
+                            : neverthrow.ok({ items: changed(), revision })),
+                        async () => {
+                            while (clock.now() < deadlineMs && era === eraAtStart && changed().length === 0) {
+                                await clock.sleep(watchCheckMs);
+                            }
+                        },
+                    );
                 },
-                change: requested => call(() => change(requested)),
+                change: requested => call("change", "", () => change(requested)),
                 grant: ttlMs =>
-                    call(() => {
+                    call("grant", "", () => {
                         const lease = nextLease;
                         nextLease += 1;
                         leases.set(lease, { ttlMs, expiresAtMs: clock.now() + ttlMs });
                         return neverthrow.ok({ lease, ttlMs });
                     }),
-                renew: lease => call(() => renew(lease)),
+                renew: lease => call("renew", "", () => renew(lease)),
                 close: () => undefined,
             };
         },
