Forward only proofs that hosts of a cell have reported themselves

Cause: in a fleet of several cells, hosts never found that the store was away for all, so work on primaries stopped for the whole outage. The two delegates of a cell forwarded the other cells' newest proof to each other and took the smaller age of what they had heard and what came back, so a proof of 20 ms stayed at 20 ms for ever. Change: a summary remembers whether its sender belongs to the summarised cell; only such entries give the proof that is forwarded. Test: remotecells.test.ts, red before (20 instead of 2,700).

--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -221,7 +221,8 @@
         },
         merge(sender, digest, receivedAtMs, requestedAtMs) {
             const ownCell = cellOf(self.id);
-            if (cellOf(digest.self.id) === ownCell) {
+            const senderCell = cellOf(digest.self.id);
+            if (senderCell === ownCell) {
                 admissionCounter.observe(digest.self.incarnation, digest.organisationUsage);
             }
             for (const summary of digest.cellSummaries) {
@@ -229,7 +230,7 @@
                     admissionCounter.adopt(summary.baselineId, admissions.countsOf(summary.organisationUsage));
                 }
                 else {
-                    remote.merge(sender, summary, receivedAtMs, requestedAtMs);
+                    remote.merge(sender, summary, receivedAtMs, requestedAtMs, summary.cell !== senderCell);
                 }
             }
         },
--- a/src/proxy/remotecells.test.ts
+++ b/src/proxy/remotecells.test.ts
@@ -47,6 +47,20 @@
         chai.expect(cells.endpointUsage("i-1", 9_000)).to.deep.equal([0, 0]);
     });
 
+    it("does not return an expired proof that two delegates of a cell once told each other", () => {
+        const [left, right] = [remoteCells.createRemoteCells(), remoteCells.createRemoteCells()];
+        const exchange = (nowMs: number, proofAgeMs: number): void => {
+            [left, right].forEach((cells, sender) => cells.merge(sender, { ...summary, proofAgeMs }, nowMs, nowMs));
+            left.summaries(nowMs).forEach(forwarded => right.merge(8, forwarded, nowMs, nowMs, true));
+            right.summaries(nowMs).forEach(forwarded => left.merge(9, forwarded, nowMs, nowMs, true));
+        };
+        [20, 700, 1_700, 2_700].forEach((proofAgeMs, round) => exchange(1_000 + round * 1_000, proofAgeMs));
+        chai.expect([left, right].map(cells => cells.peerProof("cluj/0", 4_000).proofAgeMs)).to.deep.equal([
+            2_700,
+            2_700,
+        ]);
+    });
+
     it("discards the proofs of a process whose summaries are outdated", () => {
         const cells = remoteCells.createRemoteCells();
         cells.merge(1, summary, 1_000, 990);
--- a/src/proxy/remotecells.ts
+++ b/src/proxy/remotecells.ts
@@ -9,10 +9,19 @@
 export interface RemoteCells {
     /**
      * Merges a summary that the process with the number `sender` sent. `requestedAtMs` is when this host asked for it;
-     * undefined if it came unasked.
+     * undefined if it came unasked. `isForwarded` tells that the sender belongs to another cell than the summarised one.
+     */
+    merge(
+        sender: number,
+        summary: messages.CellSummary,
+        receivedAtMs: number,
+        requestedAtMs: number | undefined,
+        isForwarded?: boolean,
+    ): void;
+    /**
+     * The newest summary of each cell, with ages as of now, to be forwarded. Polls and proofs are only those that hosts of
+     * the cell have reported: two hosts would otherwise return a proof to each other after it has expired.
      */
-    merge(sender: number, summary: messages.CellSummary, receivedAtMs: number, requestedAtMs: number | undefined): void;
-    /** The newest summary of each cell, with ages as of now, to be forwarded. */
     summaries(nowMs: number): readonly messages.CellSummary[];
     /** The usage report of each cell. */
     usageReports(nowMs: number): readonly limiters.UsageReport[];
@@ -36,6 +45,7 @@
     readonly observedAtMs: number;
     /** Every host of the cell was polled at this time or later; -Infinity if that is not known. */
     readonly polledAtMs: number;
+    readonly isForwarded: boolean;
     /** Age of the newest proof reported since `polledAtMs` was last updated; undefined without a proof. */
     readonly proofAgeMs: number | undefined;
 }
@@ -61,8 +71,10 @@
         );
     }
 
-    function peerProof(cell: string, nowMs: number): leadership.PeerProof {
-        const fresh = [...cells.get(cell)?.summaryBySender.values() ?? []].filter(entry => isFresh(entry, nowMs));
+    function proofOf(cell: string, nowMs: number, includesForwarded: boolean): leadership.PeerProof {
+        const fresh = [...cells.get(cell)?.summaryBySender.values() ?? []].filter(entry =>
+            isFresh(entry, nowMs) && (includesForwarded || !entry.isForwarded)
+        );
         const proofAges = fresh.flatMap(entry => entry.proofAgeMs ?? []);
         return {
             pollAgeMs: nowMs - Math.max(-Infinity, ...fresh.map(entry => entry.polledAtMs)),
@@ -71,8 +83,8 @@
     }
 
     return {
-        peerProof,
-        merge(sender, summary, receivedAtMs, requestedAtMs) {
+        peerProof: (cell, nowMs) => proofOf(cell, nowMs, true),
+        merge(sender, summary, receivedAtMs, requestedAtMs, isForwarded = false) {
             const cell = cells.get(summary.cell)
                 ?? {
                     summaryBySender: new Map<number, ReceivedSummary>(),
@@ -89,13 +101,14 @@
                 summary,
                 observedAtMs: Math.max(receivedAtMs - summary.ageMs, previous?.observedAtMs ?? -Infinity),
                 polledAtMs: hasPollTime ? requestedAtMs - (summary.pollAgeMs ?? 0) : previous?.polledAtMs ?? -Infinity,
+                isForwarded,
                 proofAgeMs: proofAges.length === 0 ? undefined : Math.min(...proofAges),
             });
         },
         summaries: nowMs =>
             [...cells.keys()].flatMap(cell => {
                 const entry = newestSummary(cell, nowMs);
-                const { pollAgeMs, proofAgeMs } = peerProof(cell, nowMs);
+                const { pollAgeMs, proofAgeMs } = proofOf(cell, nowMs, false);
                 return entry === undefined ? [] : [{
                     ...entry.summary,
                     ageMs: Math.ceil(nowMs - entry.observedAtMs),
