--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -23,8 +23,11 @@
 
 /** All known endpoints. */
 export interface Directory {
-    /** Replaces the entries by a complete listing, requested at the given time. */
-    replace(listed: readonly Endpoint[], requestedAtMs: number): void;
+    /**
+     * Replaces the entries by a complete listing, requested at the given time. Returns true if an endpoint was added or
+     * removed, or changed in more than the number of its report.
+     */
+    replace(listed: readonly Endpoint[], requestedAtMs: number): boolean;
     /**
      * Notes that the store came back from an older copy: entries that it lacks are written again, and for a while entries
      * older than the known ones are ignored.
@@ -65,6 +68,14 @@
     return known.draining && !listed.draining ? { ...listed, draining: true } : listed;
 }
 
+/** True if two reports of an endpoint differ in more than their number. */
+function differs(known: Endpoint | undefined, next: Endpoint): boolean {
+    return known !== next
+        && (known === undefined || known.group !== next.group || known.address !== next.address
+            || known.failureDomain !== next.failureDomain || known.slots !== next.slots
+            || known.draining !== next.draining || known.primary !== next.primary || known.born !== next.born);
+}
+
 /** Creates an empty directory. */
 export function createDirectory(options: Options): Directory {
     let entries = new Map<string, Entry>();
@@ -102,8 +113,11 @@
                     departed.set(id, { endpoint: entry.endpoint, atMs: requestedAtMs });
                 }
             }
+            const changed = next.size !== entries.size
+                || [...next].some(([id, { endpoint }]) => differs(entries.get(id)?.endpoint, endpoint));
             lastListingMs = requestedAtMs;
             entries = next;
+            return changed;
         },
         find: id => entries.get(id)?.endpoint,
         inGroup: group =>
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -17,7 +17,9 @@
 import * as coordinators from "./coordinator.js";
 import * as eventLogs from "./events.js";
 import * as executors from "./executor.js";
+import * as failoverLocks from "./failoverlock.js";
 import type * as groups from "./group.js";
+import * as id from "./identifiers.js";
 import * as logins from "./login.js";
 import * as messages from "./messages.js";
 import * as metricsRegistry from "./metrics.js";
@@ -25,6 +27,7 @@
 import * as gossip from "./peers.js";
 import type * as platforms from "./platform.js";
 import * as probers from "./prober.js";
+import * as readingSchedules from "./readingschedule.js";
 import * as replacers from "./replacement.js";
 import * as restorers from "./restoration.js";
 import type * as settingsFile from "./settings.js";
@@ -71,25 +74,6 @@
 const activityReportIntervalMs = 5_000;
 const peerRefreshIntervalMs = 1_000;
 
-const id = {
-    clock: Symbol.for("clock"),
-    events: Symbol.for("events"),
-    platform: Symbol.for("platform"),
-    network: Symbol.for("network"),
-    leadership: Symbol.for("leadership"),
-    directory: Symbol.for("directory"),
-    limiter: Symbol.for("limiter"),
-    peers: Symbol.for("peers"),
-    storeSync: Symbol.for("storeSync"),
-    clusterView: Symbol.for("clusterView"),
-    failoverLock: Symbol.for("failoverLock"),
-    prober: Symbol.for("prober"),
-    replacer: Symbol.for("replacer"),
-    coordinator: Symbol.for("coordinator"),
-    metrics: Symbol.for("metrics"),
-    login: Symbol.for("login"),
-} as const;
-
 /** Assembles a host. Nothing runs until `start` is called. */
 export function createHost(environment: Environment): Host {
     const { settings, clock, log } = environment;
@@ -124,7 +108,6 @@
         database => storeSync().policy().routes.get(database)?.consistency.kind === "primary",
     );
 
-    container.bind(id.clock).toConstantValue(clock);
     container.bind(id.events).toConstantValue(eventLogs.createEventLog(log, clock));
     container.bind(id.metrics).toDynamicValue(() => metricsRegistry.createMetrics(gauges)).inSingletonScope();
     container.bind(id.platform).toDynamicValue(() =>
@@ -158,15 +141,30 @@
             clock,
             events: events(),
             random: environment.random,
-            proofAgeMs: () => leadership().proofAgeMs(clock.now()),
+            schedule: reading().schedule,
             newestPeerListing: () => clusterView().newestPeerListing(),
-            pollRank: () => clusterView().pollRank(),
-            watchesConfiguration: () => clusterView().watchesConfiguration(),
-            cellRank: () => (peers().cellCount() > 1 ? peers().cellRank() : 0),
-            hasSuspectedHosts: () => peers().usageReports().suspectedHosts > 0,
+            carriesLock: lease => failoverLock().isCarriedBy(lease),
+            onSnapshot: (snapshot, sentMs) => reading().news.applySnapshot(snapshot, sentMs),
+            onChange() {
+                clusterView().configurationChanged();
+                reading().news.publish();
+            },
+        })
+    ).inSingletonScope();
+    container.bind(id.reading).toDynamicValue(() =>
+        readingSchedules.createReading({
+            clock,
+            era,
+            events: events(),
+            leadership: leadership(),
+            random: environment.random,
+            self: () => self,
+            peers,
+            storeSync,
+            clusterView,
+            coordinator,
             holdsFailoverLock: () => failoverLock().fencingToken() !== undefined,
-            onSnapshot: (snapshot, sentMs) => clusterView().applyStoreContents(snapshot, sentMs),
-            onChange: () => clusterView().configurationChanged(),
+            count: result => metrics().countNews(result),
         })
     ).inSingletonScope();
     container.bind(id.clusterView).toDynamicValue(() =>
@@ -189,7 +187,9 @@
             onChange: reportReadiness,
         })
     ).inSingletonScope();
-    container.bind(id.failoverLock).toConstantValue(coordinators.createHeldLock(() => storeSync()));
+    container.bind(id.failoverLock).toConstantValue(
+        failoverLocks.createHeldLock({ clock, store: () => platform().store, storeSync: () => storeSync() }),
+    );
     container.bind(id.prober).toDynamicValue(() =>
         probers.createProber({
             clock,
@@ -218,6 +218,7 @@
                 ...failoverOptions(),
                 leadership: leadership(),
             }),
+            schedule: reading().schedule,
             groups: () => clusterView().groups(),
         })
     ).inSingletonScope();
@@ -243,8 +244,9 @@
     const directory = (): directories.Directory => container.get(id.directory);
     const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
-    const failoverLock = (): coordinators.HeldLock => container.get(id.failoverLock);
+    const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
     const storeSync = (): storeSyncs.StoreSync => container.get(id.storeSync);
+    const reading = (): readingSchedules.Reading => container.get(id.reading);
     const coordinator = (): coordinators.FailoverCoordinator => container.get(id.coordinator);
     const clusterView = (): clusterViews.ClusterView => container.get(id.clusterView);
     /** Options that the failover coordinator and the replacer have in common. */
@@ -271,6 +273,7 @@
             storeEra: era.current(),
             proofAgeMs: leadership().proofAgeMs(clock.now()),
             holdsFailoverLock: failoverLock().fencingToken() !== undefined,
+            ...reading().news.gauges(),
         };
     }
 
@@ -301,12 +304,13 @@
                 peers: peers(),
                 clusterView: clusterView(),
                 storeSync: storeSync(),
-                directory: directory(),
+                storeNews: reading().news,
             };
             peerServer = await grpc.serve(settings.peers.host, settings.peers.port, peerHandlers.createHandlers(parts));
             peers().start();
         },
         async close() {
+            reading().news.close();
             peers().close();
             container.get<network.Network>(id.network).close();
             await peerServer?.close();
@@ -332,6 +336,7 @@
                 clock.every(checkIntervalMs, () => {
                     clusterView().checkSuspension();
                     clusterView().evaluateProof();
+                    reading().news.check();
                     reportReadiness();
                 }),
                 clock.every(usageReportIntervalMs, () => applyUsageReports(startMs)),
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -13,13 +13,14 @@
 import type * as store from "../ports/store.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import type * as coordinators from "./coordinator.js";
+import * as endpointTransfer from "./endpointtransfer.js";
 import type * as eventLogs from "./events.js";
 import * as fleets from "./fleet.js";
 import * as databaseGroups from "./group.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 import type * as registry from "./registry.js";
-import * as storeSyncs from "./storesync.js";
+import type * as storeSyncs from "./storesync.js";
 
 /** Settings and collaborators of the view. Those that depend on the view in turn are given as functions. */
 export interface Options {
@@ -78,18 +79,22 @@
     refreshFromPeer(): void;
     /** The newest endpoint listing that a live peer has announced. */
     newestPeerListing(): messages.EndpointListing | undefined;
-    /** Rank of this host among those that poll the store on behalf of all; `pollerCount` if it is not one of them. */
-    pollRank(): number;
-    /** True if this host is one of those that watch the configuration on behalf of all. */
-    watchesConfiguration(): boolean;
+    /** Fetches the configuration from another host that has a newer one. */
+    fetchConfiguration(source: messages.Member): void;
+    /**
+     * Takes the listing of that hash as read at that time. One that this host doesn't have is fetched from the host that
+     * has it.
+     */
+    confirmListing(source: messages.Member, hash: string, requestedAtMs: number): void;
+    /** True when no clock jump or suspension of this host was detected since the given time. */
+    noClockJumpSince(sinceMs: number): boolean;
 }
 
 /** Age of the endpoint listing from which another host is asked for a newer one. */
 const maxListingAgeMs = 2_500;
-/** Time limit for another host to send its endpoints. */
-const catalogueTimeoutMs = 1_000;
-/** Age of a host's last store response up to which the host is a candidate for polling the store. */
-const maxStoreResponseAgeMs = 2_500;
+/** Age of the proof from which a host polls others more often, and the interval of these polls. */
+const outagePollAgeMs = 1_400;
+const outagePollIntervalMs = 300;
 /** Connections per endpoint reserved for the probe of the failover coordinator. */
 const reservedConnections = 1;
 
@@ -115,7 +120,13 @@
     const allocator = connectionShares.createAllocator();
     let lastClockJumpMs = -Infinity;
     let wasTrusted = false;
-    let fetchingEndpoints = false;
+    let lastOutagePollMs = -Infinity;
+    const endpointFetcher = endpointTransfer.createFetcher({
+        clock,
+        events,
+        peers,
+        listing: () => storeSync().endpointListing,
+    });
     const configurationFetcher = configurationTransfer.createFetcher({
         clock,
         events,
@@ -125,7 +136,7 @@
         source() {
             const source = fleets.chooseConfigurationSource(peers().live());
             const version = source?.digest?.configurationVersion ?? 0;
-            return version > storeSync().policy().version ? source : undefined;
+            return version > storeSync().policy().version ? source?.member : undefined;
         },
         offer: text => storeSync().offerConfiguration(text),
     });
@@ -138,6 +149,7 @@
         lastClockJumpMs = nowMs;
         leadership.dropProof();
         storeSync().invalidateLease();
+        coordinator().invalidateLease();
         groups.forEach(entry => entry.invalidateAges());
         events.emit("suspended", {});
     }
@@ -226,7 +238,22 @@
         evaluateProof();
     }
 
+    /**
+     * Polls other hosts more often while this host has lost its proof. In a fleet of several cells the evidence that the
+     * store is away for all hosts passes three polls, and counts only while the oldest of them is young.
+     */
+    function pollForOutage(): void {
+        const nowMs = clock.now();
+        const proofAgeMs = leadership.proofAgeMs(nowMs);
+        const lostProof = Number.isFinite(proofAgeMs) && proofAgeMs > outagePollAgeMs;
+        if (lostProof && peers().cellCount() > 1 && nowMs - lastOutagePollMs >= outagePollIntervalMs) {
+            lastOutagePollMs = nowMs;
+            peers().pollNow();
+        }
+    }
+
     function evaluateProof(): void {
+        pollForOutage();
         const proofs = peers().peerProofs();
         leadership.assessOutage(proofs, clock.now());
         const trusted = leadership.isTrusted(clock.now());
@@ -262,7 +289,7 @@
             primaryRecords: leadership.all(),
             proofAgeMs: wholeMs(proofAgeMs),
             storeResponseAgeMs: wholeMs(storeSync().storeResponseAgeMs()),
-            endpointListing: storeSync().endpointListing(),
+            endpointListing: storeSync().endpointListing.summary(nowMs),
             positionSamples: [...groups.values()].flatMap(entry => {
                 const newest = entry.newestSample();
                 return newest === undefined
@@ -317,34 +344,6 @@
         }
     }
 
-    /** Fetches the endpoints from the live peer that is most up to date. */
-    async function fetchEndpoints(): Promise<void> {
-        const source = fleets.chooseConfigurationSource(peers().live());
-        if (fetchingEndpoints || source === undefined) {
-            return;
-        }
-        fetchingEndpoints = true;
-        const requestedAtMs = clock.now();
-        const reply = await peers().call(source.member, messages.peer.catalogue, {}, catalogueTimeoutMs);
-        fetchingEndpoints = false;
-        if (reply.isErr()) {
-            events.emit("catalogueMissed", { peer: source.member.id, reason: reply.error.message });
-            return;
-        }
-        if (reply.value.ageMs !== undefined) {
-            storeSync().offerEndpoints(reply.value.endpoints, requestedAtMs - reply.value.ageMs);
-        }
-    }
-
-    function pollRank(): number {
-        const candidates = peers().live()
-            .filter(peer =>
-                (peer.digest?.storeResponseAgeMs ?? Infinity) < maxStoreResponseAgeMs && !peer.member.leaving
-            )
-            .map(peer => peer.member.id);
-        return Math.min(candidates.filter(id => id < options.self().id).length, storeSyncs.pollerCount);
-    }
-
     return {
         checkSuspension,
         group,
@@ -369,12 +368,19 @@
                 undefined,
             );
         },
-        watchesConfiguration: () => pollRank() < Math.ceil(storeSyncs.pollerCount / peers().cellCount()),
-        pollRank,
+        noClockJumpSince,
+        fetchConfiguration: source => void configurationFetcher.fetch(source),
+        confirmListing(source, hash, requestedAtMs) {
+            const listing = storeSync().endpointListing;
+            if (!listing.confirm(hash, requestedAtMs) && requestedAtMs > (listing.listedAtMs() ?? -Infinity)) {
+                void endpointFetcher.fetch(source);
+            }
+        },
         refreshFromPeer() {
-            const listedAtMs = storeSync().listedAtMs();
-            if (listedAtMs === undefined || clock.now() - listedAtMs > maxListingAgeMs) {
-                void fetchEndpoints();
+            const listedAtMs = storeSync().endpointListing.listedAtMs() ?? -Infinity;
+            const source = fleets.chooseConfigurationSource(peers().live());
+            if (clock.now() - listedAtMs > maxListingAgeMs && source !== undefined) {
+                void endpointFetcher.fetch(source.member);
             }
         },
     };
--- a/src/proxy/configurationtransfer.test.ts
+++ b/src/proxy/configurationtransfer.test.ts
@@ -6,7 +6,7 @@
 import * as failure from "../core/failure.js";
 import type * as rpc from "../ports/messages.js";
 import * as configurationTransfer from "./configurationtransfer.js";
-import type * as fleets from "./fleet.js";
+import type * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 
 const hostCount = 24;
@@ -100,7 +100,7 @@
                     const chosen = newer[Math.floor(random() * newer.length)];
                     return chosen === undefined
                         ? undefined
-                        : { member: { id: String(chosen[0]), address: String(chosen[0]) } } as fleets.Peer;
+                        : { id: String(chosen[0]), address: String(chosen[0]) } as messages.Member;
                 },
                 offer(text) {
                     created.configuration = { version: (JSON.parse(text) as { version: number }).version, text };
--- a/src/proxy/configurationtransfer.ts
+++ b/src/proxy/configurationtransfer.ts
@@ -7,7 +7,6 @@
 import * as backoffs from "../core/backoff.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as events from "./events.js";
-import type * as fleets from "./fleet.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 
@@ -59,15 +58,18 @@
     /** Version in force at this host. */
     version(): number;
     /** The host to fetch from; undefined if none has a newer version. */
-    source(): fleets.Peer | undefined;
+    source(): messages.Member | undefined;
     /** Applies a fetched configuration if it is valid and newer. */
     offer(text: string): void;
 }
 
 /** Fetches the configuration from other hosts. */
 export interface Fetcher {
-    /** Fetches until this host has the newest version that another host has; one fetch runs at a time. */
-    fetch(): Promise<void>;
+    /**
+     * Fetches until this host has the newest version that another host has; one fetch runs at a time. It begins with the
+     * preferred host and leaves it when it doesn't answer.
+     */
+    fetch(preferred?: messages.Member): Promise<void>;
 }
 
 /** Time limit for one part. */
@@ -81,16 +83,19 @@
     const { clock, events } = options;
     let fetching = false;
 
-    async function fetchNewest(): Promise<void> {
+    async function fetchNewest(preferred: messages.Member | undefined): Promise<void> {
         let parts: Uint8Array[] = [];
         const backoff = backoffs.createBackoff(retryPauses);
         let received = 0;
         let hash = "";
-        const nextSource = (): fleets.Peer | undefined =>
-            backoff.failures() < maxFailures ? options.source() : undefined;
-        for (let source = nextSource(); source !== undefined; source = nextSource()) {
+        const nextSource = (): messages.Member | undefined =>
+            backoff.failures() === 0 && preferred !== undefined
+                ? preferred
+                : backoff.failures() < maxFailures
+                ? options.source()
+                : undefined;
+        for (let member = nextSource(); member !== undefined; member = nextSource()) {
             const startedMs = clock.now();
-            const { member } = source;
             const reply = await options.peers().call(
                 member,
                 messages.peer.configuration,
@@ -135,10 +140,10 @@
     }
 
     return {
-        async fetch() {
+        async fetch(preferred) {
             if (!fetching) {
                 fetching = true;
-                await fetchNewest();
+                await fetchNewest(preferred);
                 fetching = false;
             }
         },
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -5,15 +5,17 @@
 import type * as directory from "../core/directory.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
+import * as registrationLife from "../core/registrationlife.js";
 import * as storeEras from "../core/storeera.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
 import type * as events from "./events.js";
+import type * as failoverLocks from "./failoverlock.js";
 import type * as groups from "./group.js";
 import type * as messages from "./messages.js";
-import type * as peers from "./peers.js";
+import * as peers from "./peers.js";
 import type * as probers from "./prober.js";
-import * as registration from "./registration.js";
+import type * as schedules from "./readingschedule.js";
 import * as registry from "./registry.js";
 import type * as replacement from "./replacement.js";
 import type * as restoration from "./restoration.js";
@@ -31,7 +33,8 @@
     readonly prober: probers.Prober;
     readonly replacer: replacement.Replacer;
     readonly restorer: restoration.Restorer;
-    readonly lock: HeldLock;
+    readonly lock: failoverLocks.HeldLock;
+    readonly schedule: Pick<schedules.Schedule, "lockRank" | "registrationLife">;
     groups(): readonly groups.Group[];
     endpoints(group: string): readonly directory.Endpoint[];
 }
@@ -40,42 +43,26 @@
 export interface FailoverCoordinator {
     /** Applies a snapshot of the store: the records, and who holds the failover lock. */
     observe(snapshot: registry.Snapshot): void;
+    /** Applies what another host has read: whether the era is settled, and who holds the lock. */
+    observeNews(news: { readonly settled: boolean; readonly lockHolder: string | undefined }): void;
     /** Gives up the lock, which was held in the previous era of the store. */
     storeRestored(): void;
+    /** Treats the lease of the lock as expired until it is renewed, because a clock jump made its age unknown. */
+    invalidateLease(): void;
     start(): void;
     /** Deletes the lock from the store if this host holds it, so that another one can acquire it at once. */
     release(): Promise<void>;
     close(): void;
 }
 
-/** Whether this host holds the failover lock. */
-export interface HeldLock {
-    /** Fencing token of the lock; undefined unless this host is certain to hold it. */
-    fencingToken(): number | undefined;
-    /** Records an acquired lock and the lease that it ends with, or undefined once the lock is lost. */
-    set(held: { readonly token: number; readonly lease: number } | undefined): void;
-}
-
-/**
- * Creates the state of a lock that this host doesn't hold. A held lock is valid only while its lease is: a host that has
- * registered again under another lease may have lost the lock in between.
- */
-export function createHeldLock(storeSync: () => storeSyncs.StoreSync): HeldLock {
-    let held: { readonly token: number; readonly lease: number } | undefined;
-    return {
-        fencingToken: () => (held !== undefined && storeSync().leaseId() === held.lease ? held.token : undefined),
-        set(next) {
-            held = next;
-        },
-    };
-}
-
 /** Interval at which each primary is probed. */
 const probeIntervalMs = 150;
 /** Gap between two ticks that shows that the process was paused. What it knows is then out of date: it skips a tick. */
 const pauseThresholdMs = 600;
 /** Delay for each host of a lower rank before a host tries to acquire a free lock. */
 const rankDelayMs = 200;
+/** Age of a host's own snapshot from which it reads the store again when it acquires the lock. */
+const maxSnapshotAgeMs = 1_000;
 /** Pause after a failed attempt to replace a primary. */
 const retryPauseMs = 250;
 /** Time for attempts under way to end before the lock is released; otherwise it expires with the lease. */
@@ -85,8 +72,6 @@
 
 /** Time without contact to a primary and to any other host after which this host gives up the lock. */
 const isolationTimeoutMs = 1_000;
-/** Time for which a host that gave up the lock leaves it to others; those that are dead are no longer registered then. */
-const isolationHoldOffMs = registration.leaseTtlMs;
 
 interface GroupState {
     /** True while a replacement or the creation of the record runs. */
@@ -161,21 +146,6 @@
 
     function decide(group: groups.Group, record: leadership.Record): promotion.Decision {
         const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
-        const others = options.peers.live().flatMap(peer => {
-            const contact = peer.digest?.primaryContacts.find(candidate =>
-                candidate.group === group.name && candidate.epoch === record.epoch
-            );
-            if (contact === undefined) {
-                return [];
-            }
-            // The time since the digest arrived is added to the age of the last answer, but not to the duration of a
-            // failure, which is known only up to the digest.
-            const digestAgeMs = clock.now() - peer.lastHeardMs;
-            const ageNow = (
-                ms: number | undefined,
-            ): number | undefined => (ms === undefined ? undefined : ms + digestAgeMs);
-            return [{ answerAgeMs: ageNow(contact.answerAgeMs), failingForMs: contact.failingForMs }];
-        });
         const own = group.primaryContact();
         if (
             (own.failingForMs ?? 0) >= promotion.inquiryDelayMs
@@ -189,7 +159,7 @@
             draining: endpoint?.draining ?? false,
             demoted: stateOf(group.name).demoted,
             own,
-            others,
+            others: peers.contactsWithPrimary(options.peers.live(), record, clock.now()),
             corroborated: isCorroborated(clock.now() - (own.failingForMs ?? 0)),
         });
         if (decision.reason === "isolated" && (own.failingForMs ?? 0) >= isolationTimeoutMs) {
@@ -241,20 +211,29 @@
      * has expired when the era has been known for the lease's time to live.
      */
     function mayAcquire(): boolean {
-        const leaseExpired = options.era.ageMs() >= registration.leaseTtlMs;
-        const delayMs = heldInPreviousEra ? 0 : rank() * rankDelayMs;
-        return clock.now() >= heldOffUntilMs && lockFreeSinceMs !== undefined
-            && clock.now() - lockFreeSinceMs >= delayMs
-            && (settled || heldInPreviousEra || leaseExpired);
+        if (lockFreeSinceMs === undefined || clock.now() < heldOffUntilMs) {
+            return false;
+        }
+        const freeMs = clock.now() - lockFreeSinceMs;
+        const permittedMs = settled ? freeMs : Math.min(freeMs, options.era.ageMs() - registrationLife.lockLife.ttlMs);
+        return heldInPreviousEra || permittedMs >= options.schedule.lockRank() * rankDelayMs;
     }
 
     async function acquireLock(): Promise<void> {
-        const lease = options.storeSync.leaseId();
-        const era = options.era.current();
-        if (acquiring || lease === undefined || era === undefined) {
+        if (acquiring) {
             return;
         }
         acquiring = true;
+        const lease = await lock.obtainLease();
+        const era = options.era.current();
+        if (lease !== undefined && era !== undefined) {
+            await writeLock(era, lease);
+        }
+        // Without a response, the next snapshot shows whether the lock was acquired.
+        acquiring = false;
+    }
+
+    async function writeLock(era: number, lease: number): Promise<void> {
         const key = registry.failoverLockKey(era);
         const value = JSON.stringify({ holder: self.id, incarnation: self.incarnation });
         const acquired = await client.change({
@@ -264,10 +243,23 @@
             deletes: [],
         });
         if (acquired.isOk()) {
+            await refreshOutdated();
             setHeld(storeEras.order(era, acquired.value), lease);
         }
-        // Without a response, the next snapshot shows whether the lock was acquired.
-        acquiring = false;
+        else if (acquired.error.kind === "conflict") {
+            // Another host holds the lock, or a deletion that this host sent has taken effect late.
+            lockFreeSinceMs = undefined;
+        }
+        else {
+            await clock.sleep(retryPauseMs);
+        }
+    }
+
+    /** Reads the records that this host is responsible for from now on, unless it has read them recently. */
+    async function refreshOutdated(): Promise<void> {
+        if (options.storeSync.sinceKeyReadMs() > maxSnapshotAgeMs) {
+            await options.storeSync.refresh();
+        }
     }
 
     /** Writes the records of earlier eras again; until that is done, no primary is replaced. */
@@ -329,17 +321,12 @@
     /** Leaves the lock to a host that reaches the primaries or at least the other hosts. */
     async function yieldLock(): Promise<void> {
         if (clock.now() >= heldOffUntilMs) {
-            heldOffUntilMs = clock.now() + isolationHoldOffMs;
+            // The hosts that are dead are no longer registered then.
+            heldOffUntilMs = clock.now() + options.schedule.registrationLife().ttlMs;
             await releaseLock();
         }
     }
 
-    /** Rank of this host among those that may acquire the lock; a host waits longer the higher its rank. */
-    function rank(): number {
-        const ids = options.peers.live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
-        return ids.filter(id => id < self.id).length;
-    }
-
     return {
         observe(snapshot) {
             replacer.observe(snapshot.records);
@@ -363,17 +350,31 @@
                 events.emit("dutyLost", { holder: failoverLock?.holder });
             }
         },
+        observeNews(news) {
+            // What another host has read may be older than this host's own acquisition of the lock.
+            if (heldToken === undefined && news.lockHolder !== self.id) {
+                settled = news.settled;
+                lockFreeSinceMs = news.lockHolder === undefined ? lockFreeSinceMs ?? clock.now() : undefined;
+            }
+        },
         storeRestored() {
             heldInPreviousEra = lock.fencingToken() !== undefined;
             heldToken = undefined;
             lock.set(undefined);
             lockFreeSinceMs = undefined;
+            lock.storeRestored();
             releasedRevision = 0;
             settled = false;
             replacer.storeRestored();
         },
+        invalidateLease: () => lock.invalidate(),
         start() {
-            stop = clock.every(probeIntervalMs, tick);
+            const stopTicks = clock.every(probeIntervalMs, tick);
+            const stopRenewals = clock.every(registrationLife.lockLife.renewIntervalMs, () => void lock.renew());
+            stop = () => {
+                stopTicks();
+                stopRenewals();
+            };
         },
         async release() {
             stop?.();
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -3,6 +3,7 @@
 import * as cellAssignment from "../core/cells.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as storeReading from "../core/storereading.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as messages from "./messages.js";
@@ -72,6 +73,11 @@
     cellRank(): number;
     /** The summaries of cells to send to the host of that id. */
     cellSummaries(digest: LocalDigest, receiverId: string | undefined): readonly messages.CellSummary[];
+    /**
+     * The available hosts in the order in which they act for others: those of this host's cell, and the first one of each
+     * cell.
+     */
+    actingHosts(): Pick<storeReading.Layout, "ownCell" | "firstOfCells">;
     /** Hosts that this one polls. */
     gossipTargets(): readonly PeerState[];
     /** Usage by organisation of the other hosts, from which the limiter derives the share of this one. */
@@ -136,18 +142,22 @@
     }
 
     /**
-     * The delegates of a cell: the first of its hosts that are neither leaving nor unreachable. An unreachable host is
-     * eligible again, and so polled again, when its last failed poll is longer ago than `suspectTimeoutMs`.
+     * The hosts that are neither leaving nor unreachable. An unreachable host is eligible again, and so polled again, when
+     * its last failed poll is longer ago than `suspectTimeoutMs`.
      */
-    function delegatesOf(ids: readonly string[]): readonly string[] {
-        const eligible = ids.filter(id => {
+    function eligibleHosts(ids: readonly string[]): readonly string[] {
+        return ids.filter(id => {
             const peer = peers.get(id);
             if (peer === undefined) {
                 return id === self.id;
             }
             return !peer.member.leaving && (!peer.unreachable || clock.now() - peer.lastFailedMs > suspectTimeoutMs);
         });
-        return eligible.slice(0, cellAssignment.delegatesPerCell);
+    }
+
+    /** The delegates of a cell: the first of its eligible hosts. */
+    function delegatesOf(ids: readonly string[]): readonly string[] {
+        return eligibleHosts(ids).slice(0, cellAssignment.delegatesPerCell);
     }
 
     /** Delegates of the other cells that this host polls if it is a delegate: in each cell the one of the same rank. */
@@ -238,6 +248,17 @@
             admissionCounter.observe(self.incarnation, digest.organisationUsage);
             return summariesFor(digest, receiverId);
         },
+        actingHosts() {
+            const ownCell = cellOf(self.id);
+            const cells = [...assignCells()].sort(([left], [right]) => (left < right ? -1 : 1));
+            // Hosts of other cells exchange no digests with this one, so they count as available while registered.
+            const firstOfCells = cells.flatMap(([name, ids]) =>
+                name === ownCell
+                    ? eligibleHosts(ids).slice(0, 1)
+                    : eligibleHosts(ids).filter(id => peers.get(id)?.registered === true).slice(0, 1)
+            );
+            return { ownCell: eligibleHosts(assignCells().get(ownCell) ?? []), firstOfCells };
+        },
         cellCount: () => assignCells().size,
         cellRank: () => (assignCells().get(cellOf(self.id)) ?? []).indexOf(self.id),
         gossipTargets: () => [...cellPeers(), ...counterpartDelegates()],
--- a/src/proxy/isolated.test.ts
+++ b/src/proxy/isolated.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as invariants from "../../standins/invariants.js";
 import * as simulatedFleets from "../../standins/simulatedfleet.js";
 
 describe("a holder of the failover lock that reaches only the store", function() {
@@ -19,7 +20,7 @@
         fleet.cutFromPeers.add(holder);
         fleet.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
         const rivals: string[] = [];
-        await fleet.clock.advance(4_000, () => rivals.push(...simulatedFleets.rivalHolders(fleet)));
+        await fleet.clock.advance(4_000, () => rivals.push(...invariants.rivalHolders(fleet)));
         chai.expect(rivals).to.deep.equal([]);
         chai.expect(fleet.promotions).to.deep.equal([]);
         chai.expect(holders()).to.have.length(2);
@@ -39,7 +40,7 @@
             tested.cutFromPeers.add(holder);
             tested.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
             const rivals: string[] = [];
-            await tested.clock.advance(3_000, () => rivals.push(...simulatedFleets.rivalHolders(tested)));
+            await tested.clock.advance(3_000, () => rivals.push(...invariants.rivalHolders(tested)));
             tested.close();
             chai.expect(rivals).to.deep.equal([]);
         }
@@ -53,7 +54,7 @@
             tested.cutFromPeers.add(holder);
             tested.endpoints.forEach(endpoint => endpoint.cutFrom.add(holder));
             const rivals: string[] = [];
-            const check = (): void => void rivals.push(...simulatedFleets.rivalHolders(tested));
+            const check = (): void => void rivals.push(...invariants.rivalHolders(tested));
             await tested.clock.advance(cutAfterMs, check);
             tested.cutFromStore.add(holder);
             await tested.clock.advance(500, check);
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -154,6 +154,47 @@
 
 const empty = z.object({}).readonly();
 
+/** A question for what another host has learnt from the store; the answer is held back until there is something new. */
+export const newsQuestion = z.object({
+    /** Process that the sender asked before, and the number of its newest answer. */
+    known: z.object({ incarnation: z.string(), number: z.number() }).readonly().optional(),
+    /** Hash of the records of primaries that the sender knows. */
+    records: z.string(),
+    /** Hash of the registered hosts that the sender knows. */
+    hosts: z.string(),
+}).readonly();
+/** A question for what another host has learnt from the store. */
+export type NewsQuestion = z.infer<typeof newsQuestion>;
+
+/** What a host has learnt from the store, by itself or from another host; ages in milliseconds at the answer. */
+export const newsAnswer = z.object({
+    incarnation: z.string(),
+    /** Rises with each change of what the host has to tell. */
+    number: z.number(),
+    /** Time for which the answer was held back. */
+    heldMs: z.number(),
+    /** The newest era of the store that the host knows; what follows holds for that era. */
+    era: z.number().optional(),
+    /** Age of the newest reading of the keys; absent without any. */
+    readingAgeMs: z.number().optional(),
+    /** True if that reading showed a settled era. */
+    settled: z.boolean(),
+    /** Holder of the failover lock in that reading; absent if nobody held it. */
+    lockHolder: z.string().optional(),
+    /** Age of the proof that the records are in force; absent without a proof. */
+    proofAgeMs: z.number().optional(),
+    /** The records of primaries, unless the asking host knows the same ones. */
+    records: z.array(leadership.schema).readonly().optional(),
+    /** The registered hosts in that reading, unless the asking host knows the same ones. */
+    hosts: z.array(member).readonly().optional(),
+    /** The newest endpoint listing. */
+    listing: z.object({ hash: z.string(), ageMs: z.number() }).readonly().optional(),
+    /** Version of the configuration in force, and the time since the store confirmed it as the newest one. */
+    configuration: z.object({ version: z.number(), ageMs: z.number().optional() }).readonly(),
+}).readonly();
+/** What a host has learnt from the store. */
+export type NewsAnswer = z.infer<typeof newsAnswer>;
+
 const configurationPart = z.object({
     version: z.number(),
     /** Size of the whole compressed text. */
@@ -185,7 +226,9 @@
         z.object({ offset: z.number().int().min(0) }).readonly(),
         configurationPart,
     ),
-    /** Returns the endpoints to a host that can't read the store. */
+    /** Returns what the host has learnt from the store, once there is something that the sender doesn't know. */
+    news: method("news", newsQuestion, newsAnswer),
+    /** Returns the endpoint listing to a host that doesn't read the store. */
     catalogue: method(
         "catalogue",
         empty,
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -5,8 +5,18 @@
 import type * as caller from "../ports/caller.js";
 import type * as sessions from "./session.js";
 
+/** Values of the gauges about what this host has learnt from the store. */
+export interface ReadingGauges {
+    /** True if this host has read the newest reading of the store itself. */
+    readonly readsStoreForOthers: boolean;
+    /** Age of the newest reading of the store, this host's own or another's; infinite without one. */
+    readonly storeReadingAgeMs: number;
+    /** Age of the endpoint listing; infinite without one. */
+    readonly listingAgeMs: number;
+}
+
 /** Values of the gauges, read each time the metrics are rendered. */
-export interface Gauges {
+export interface Gauges extends ReadingGauges {
     /** Statements running and queued. */
     readonly loadByEndpoint: Readonly<Record<string, number>>;
     readonly connectionsByEndpoint: Readonly<Record<string, number>>;
@@ -26,6 +36,8 @@
     countPlatformCall(kind: string, result: string): void;
     /** Counts that the store came back from an older copy. */
     countStoreRestoration(): void;
+    /** Counts a question to another host for what it has learnt from the store. */
+    countNews(result: string): void;
     /** All metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -73,6 +85,12 @@
         help: "Times that the store came back from an older copy of its data.",
         registers,
     });
+    const news = new prometheus.Counter({
+        name: "hyssophatch_store_news_total",
+        help: "Questions to other hosts for what they have learnt from the store, by result.",
+        labelNames: ["result"],
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const callers = gauge("hyssophatch_callers", "Connections of callers.", []);
@@ -81,6 +99,11 @@
     const proof = gauge("hyssophatch_record_proof_age_seconds", "Age of the proof of the records.", []);
     const failoverLock = gauge("hyssophatch_promotion_duty", "1 on the host that replaces primaries.", []);
 
+    const reader = gauge("hyssophatch_store_reader", "1 if this host read the newest reading of the store itself.", []);
+    const readingAge = gauge("hyssophatch_store_reading_age_seconds", "Age of the newest reading of the store.", []);
+    const listingAge = gauge("hyssophatch_endpoint_listing_age_seconds", "Age of the endpoint listing.", []);
+    const seconds = (ms: number): number => Math.min(ms, Number.MAX_SAFE_INTEGER) / 1_000;
+
     function gauge(name: string, help: string, labelNames: readonly string[]): prometheus.Gauge {
         return new prometheus.Gauge({ name, help, labelNames: [...labelNames], registers });
     }
@@ -97,6 +120,7 @@
         },
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
+        countNews: result => news.inc({ result }),
         render() {
             const gauges = readGauges();
             load.reset();
@@ -106,7 +130,10 @@
             callers.set(gauges.callers);
             version.set(gauges.configurationVersion);
             storeEra.set(gauges.storeEra ?? 0);
-            proof.set(Math.min(gauges.proofAgeMs, Number.MAX_SAFE_INTEGER) / 1_000);
+            proof.set(seconds(gauges.proofAgeMs));
+            reader.set(gauges.readsStoreForOthers ? 1 : 0);
+            readingAge.set(seconds(gauges.storeReadingAgeMs));
+            listingAge.set(seconds(gauges.listingAgeMs));
             failoverLock.set(gauges.holdsFailoverLock ? 1 : 0);
             return registry.metrics();
         },
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -1,13 +1,13 @@
 /** Handlers of the calls that other hosts make to this one. */
 import * as neverthrow from "neverthrow";
 import * as grpc from "../adapters/grpc.js";
-import type * as directories from "../core/directory.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as clusterViews from "./clusterview.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
+import type * as storeNews from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
 
 /** Components that the handlers use. */
@@ -16,12 +16,12 @@
     readonly peers: gossip.Peers;
     readonly clusterView: clusterViews.ClusterView;
     readonly storeSync: storeSyncs.StoreSync;
-    readonly directory: directories.Directory;
+    readonly storeNews: storeNews.StoreNews;
 }
 
-/** Creates the handlers of all calls between hosts: digests, records of primaries, configuration and endpoints. */
+/** Creates the handlers of all calls between hosts: digests, records, news of the store, configuration, endpoints. */
 export function createHandlers(options: Options): readonly network.Handler[] {
-    const { clock, peers, clusterView, storeSync, directory } = options;
+    const { clock, peers, clusterView, storeSync } = options;
     const configurationSource = configurationTransfer.createSource(storeSync.configuration);
     return [
         grpc.handle(messages.peer.exchange, async digest => neverthrow.ok(peers.handleExchange(digest))),
@@ -34,11 +34,12 @@
             async ({ offset }) => neverthrow.ok(configurationSource.part(offset)),
         ),
         grpc.handle(messages.peer.catalogue, async () => {
-            const listedAtMs = storeSync.listedAtMs();
+            const { endpointListing } = storeSync;
             return neverthrow.ok({
-                endpoints: directory.all(),
-                ageMs: listedAtMs === undefined ? undefined : clock.now() - listedAtMs,
+                endpoints: endpointListing.endpoints(),
+                ageMs: endpointListing.summary(clock.now())?.ageMs,
             });
         }),
+        grpc.handle(messages.peer.news, async question => neverthrow.ok(await options.storeNews.answer(question))),
     ];
 }
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -2,6 +2,8 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as promotion from "../core/promotion.js";
+import type * as storeReading from "../core/storereading.js";
 import type * as rpc from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
@@ -34,6 +36,7 @@
     live(): readonly fleets.Peer[];
     /** All known hosts, this one excluded. */
     all(): readonly fleets.Peer[];
+    find(id: string): fleets.Peer | undefined;
     /** Receives the digest of another host, and returns that of this one. */
     handleExchange(encoded: messages.EncodedDigest): messages.EncodedDigest;
     /** Calls a method of another host. */
@@ -53,6 +56,11 @@
     cellCount(): number;
     /** Rank of this host by id among the hosts of its cell. */
     cellRank(): number;
+    /**
+     * The available hosts in the order in which they act for others: those of this host's cell, and the first one of each
+     * cell.
+     */
+    actingHosts(): Pick<storeReading.Layout, "ownCell" | "firstOfCells">;
     /** Sorted ids of all hosts that may hold connections to endpoints, this one included. */
     connectionHolders(): readonly string[];
     start(): void;
@@ -75,6 +83,29 @@
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
 
+/** How well hosts reach the primary of a record, by their digests. */
+export function contactsWithPrimary(
+    hosts: readonly fleets.Peer[],
+    record: leadership.Record,
+    nowMs: number,
+): readonly promotion.Contact[] {
+    return hosts.flatMap(peer => {
+        const contact = peer.digest?.primaryContacts.find(candidate =>
+            candidate.group === record.group && candidate.epoch === record.epoch
+        );
+        if (contact === undefined) {
+            return [];
+        }
+        // The time since the digest arrived is added to the age of the last answer, but not to the duration of a failure,
+        // which is known only up to the digest.
+        const { answerAgeMs, failingForMs } = contact;
+        return [{
+            answerAgeMs: answerAgeMs === undefined ? undefined : answerAgeMs + nowMs - peer.lastHeardMs,
+            failingForMs,
+        }];
+    });
+}
+
 /** Creates the gossip of a host that knows no others yet. */
 export function createPeers(options: Options): Peers {
     const { clock } = options;
@@ -176,6 +207,14 @@
         return peer.channel;
     }
 
+    /** After a call without a reply: the connection may be dead although the host is healthy, so the next call opens one. */
+    function replaceSilentChannel(peer: fleets.PeerState, usedChannel: network.Channel, requestedAtMs: number): void {
+        if (clock.now() - requestedAtMs >= replaceChannelAfterMs * 0.9 && peer.channel === usedChannel) {
+            usedChannel.close();
+            peer.channel = undefined;
+        }
+    }
+
     async function poll(peer: fleets.PeerState): Promise<void> {
         const { id } = peer.member;
         if (pollsInFlight.has(id)) {
@@ -199,11 +238,7 @@
         if (reply.error.code === failure.Code.ownerUnreachable) {
             peer.lastRefusedMs = requestedAtMs;
         }
-        // The connection may be dead although the host is healthy, so the next attempt opens a new one.
-        if (clock.now() - requestedAtMs >= replaceChannelAfterMs * 0.9 && peer.channel === usedChannel) {
-            usedChannel.close();
-            peer.channel = undefined;
-        }
+        replaceSilentChannel(peer, usedChannel, requestedAtMs);
         if (isSuspected(peer) && !peer.unreachable) {
             peer.unreachable = true;
             options.events.emit("peerLost", { peer: id, reason: reply.error.message });
@@ -258,6 +293,7 @@
     return {
         live,
         all: () => [...peers.values()],
+        find: id => peers.get(id),
         register(members) {
             const others = members.filter(member => member.id !== self.id);
             const ids = new Set(others.map(member => member.id));
@@ -278,15 +314,21 @@
             // The element at index 3 is the number of this host's header that the sender has.
             return encodeDigest(peer, encoded[3] ?? undefined);
         },
-        call(member, method, request, timeoutMs) {
+        async call(member, method, request, timeoutMs) {
             const peer = peers.get(member.id);
-            return (peer === undefined ? options.network.openChannel(member.address) : channelTo(peer))
-                .call(method, request, timeoutMs);
+            const usedChannel = peer === undefined ? options.network.openChannel(member.address) : channelTo(peer);
+            const requestedAtMs = clock.now();
+            const reply = await usedChannel.call(method, request, timeoutMs);
+            if (reply.isErr() && peer !== undefined) {
+                replaceSilentChannel(peer, usedChannel, requestedAtMs);
+            }
+            return reply;
         },
         usageReports: () => fleet.usageReports(),
         endpointUsage: endpoint => fleet.endpointUsage(endpoint),
         cellCount: () => fleet.cellCount(),
         cellRank: () => fleet.cellRank(),
+        actingHosts: () => fleet.actingHosts(),
         peerProofs: () => fleet.peerProofs(),
         connectionHolders: () =>
             [
--- /dev/null
+++ b/src/proxy/readingschedule.ts
@@ -0,0 +1,165 @@
+/**
+ * When this host calls the store. The hosts of a fleet of one cell read in turn, as the digests that they exchange carry
+ * what each of them has read. In a larger fleet one host reads for all, see `core/storereading`.
+ */
+import * as registrationLives from "../core/registrationlife.js";
+import * as storeNews from "./storenews.js";
+
+/** When this host calls the store. */
+export interface Schedule {
+    /** True when the key prefix is to be read, given the time since this host last requested it. */
+    isKeyReadDue(sinceReadMs: number): boolean;
+    /** Interval at which that is to be checked, in milliseconds. */
+    checkIntervalMs(): number;
+    /** Age of the endpoint listing at which this host reads it. */
+    maxListingAgeMs(): number;
+    /** Time after its start for which a host without a listing leaves it to others to read it, in milliseconds. */
+    firstListingDelayMs(): number;
+    /** True while the fleet is a single cell. */
+    isSingleCell(): boolean;
+    /** True if this host is one of those that watch the configuration on behalf of all. */
+    watchesConfiguration(): boolean;
+    /** Time limit of one watch of the configuration, in milliseconds. */
+    watchTimeoutMs(): number;
+    /**
+     * Time since the configuration of this host is known to have been the newest one, in milliseconds, given the times
+     * since this host read it and since it started.
+     */
+    configurationAgeMs(sinceReadMs: number, sinceStartMs: number): number;
+    /** Rank of this host in its cell, if the fleet has several cells; 0 otherwise. */
+    cellRank(): number;
+    /** The life of a host's registration. */
+    registrationLife(): registrationLives.Life;
+    /** Rank of this host among those that may acquire the failover lock. */
+    lockRank(): number;
+}
+
+/** Interval at which the ages of the proof and of the endpoint listing are checked. */
+const checkIntervalMs = 250;
+/** The same for a host that may read for a fleet of several cells. */
+const readerCheckIntervalMs = 50;
+/**
+ * Age of the proof at which the host with poll rank 0 reads the key prefix again; the others receive the proof in its
+ * digests. Half of the maximum age of a proof.
+ */
+const proofRefreshMs = 750;
+/** The same for the holder of the failover lock, which bases its decisions on what it has read itself. */
+const coordinatorProofRefreshMs = 500;
+/** Delay for each poll rank, so that a newer proof can arrive from a host of a lower rank first. */
+const proofRankDelayMs = 120;
+/** Maximum interval between reads of the key prefix, from which a host also learns which hosts are registered. */
+const maxReadIntervalMs = 10_000;
+/** The same while a host is suspected: once its registration ends, its share of limits and connections is free. */
+const suspectedReadIntervalMs = 1_500;
+/**
+ * Age of the endpoint listing at which the host with poll rank 0 reads it again. Draining endpoints must be noticed
+ * within seconds.
+ */
+const listingRefreshMs = 1_250;
+/** Delay for each poll rank, so that a newer listing can arrive from a host of a lower rank first. */
+const listingRankDelayMs = 350;
+/** Age of the endpoint listing at which a host takes over from the host that reads for the fleet. */
+const listingTakeoverMs = 2_300;
+/** Age of the newest reading of the keys from which the store counts as away for all hosts. */
+const staleReadingMs = 1_500;
+/** Time for which a host that starts waits for the listing of the first host of its cell, and for each rank there. */
+const firstListingDelayMs = 600;
+const firstListingRankDelayMs = 100;
+/** Number of hosts that poll the store on behalf of a fleet of one cell: one, and two that take over. */
+const pollerCount = 3;
+/** Number of hosts that watch the configuration on behalf of several cells. */
+const fleetWatcherCount = 2;
+/** Age of a host's last store response up to which the host is a candidate for polling the store. */
+const maxStoreResponseAgeMs = 2_500;
+/** Time limit of one watch, so that a connection that has gone silent is noticed; the next one goes on from there. */
+const watchTimeoutMs = 2_000;
+/** The same in a fleet of several cells, whose reader notices a silent connection by its other calls. */
+const fleetWatchTimeoutMs = 10_000;
+
+/** What a host has learnt from the store, and when it calls it. */
+export interface Reading {
+    readonly news: storeNews.StoreNews;
+    readonly schedule: Schedule;
+}
+
+/** Creates the reading of a host that has learnt nothing. */
+export function createReading(options: storeNews.Options): Reading {
+    const news = storeNews.createStoreNews(options);
+    return { news, schedule: createSchedule(options, news) };
+}
+
+function createSchedule(options: storeNews.Options, news: storeNews.StoreNews): Schedule {
+    const { peers } = options;
+    /** When this host last found that nobody had read the keys for long. */
+    let staleAtMs = -Infinity;
+    const selfId = (): string => options.self().id;
+    const proofAgeMs = (): number => options.leadership.proofAgeMs(options.clock.now());
+
+    /** Rank of this host among those that poll the store for a single cell; `pollerCount` if it is not one of them. */
+    function pollRank(): number {
+        const candidates = peers().live()
+            .filter(peer =>
+                (peer.digest?.storeResponseAgeMs ?? Infinity) < maxStoreResponseAgeMs && !peer.member.leaving
+            )
+            .map(peer => peer.member.id);
+        return Math.min(candidates.filter(id => id < selfId()).length, pollerCount);
+    }
+
+    function isKeyReadDueInCell(sinceReadMs: number): boolean {
+        const maxAgeMs = options.holdsFailoverLock()
+            ? coordinatorProofRefreshMs
+            : proofRefreshMs + pollRank() * proofRankDelayMs;
+        const intervalMs = peers().usageReports().suspectedHosts > 0 ? suspectedReadIntervalMs : maxReadIntervalMs;
+        return proofAgeMs() > maxAgeMs || sinceReadMs > intervalMs;
+    }
+
+    return {
+        isKeyReadDue(sinceReadMs) {
+            const state = news.readingState();
+            return state === undefined ? isKeyReadDueInCell(sinceReadMs) : news.planner.isReadDue(state);
+        },
+        checkIntervalMs: () => (news.readingState() === undefined ? checkIntervalMs : readerCheckIntervalMs),
+        maxListingAgeMs() {
+            const state = news.readingState();
+            if (state === undefined) {
+                return listingRefreshMs + pollRank() * listingRankDelayMs;
+            }
+            // While nobody reads the keys, the store is away, and attempts to read the listing would fail as well.
+            if (state.readingAgeMs > staleReadingMs) {
+                staleAtMs = state.nowMs;
+                return Infinity;
+            }
+            if (state.holdsLock || news.planner.isReader(state)) {
+                return listingRefreshMs;
+            }
+            const readerHadTime = state.nowMs - staleAtMs >= listingTakeoverMs;
+            return readerHadTime ? listingTakeoverMs + 2 * state.place.takeoverDelayMs : Infinity;
+        },
+        firstListingDelayMs() {
+            const rank = news.readingState() === undefined ? 0 : peers().cellRank();
+            return rank === 0 ? 0 : firstListingDelayMs + rank * firstListingRankDelayMs;
+        },
+        isSingleCell: () => news.readingState() === undefined,
+        watchesConfiguration() {
+            const state = news.readingState();
+            return state === undefined
+                ? pollRank() < pollerCount
+                : state.holdsLock || news.planner.availablePreceding(state) < fleetWatcherCount;
+        },
+        watchTimeoutMs: () => (news.readingState() === undefined ? watchTimeoutMs : fleetWatchTimeoutMs),
+        configurationAgeMs: (sinceReadMs, sinceStartMs) =>
+            news.readingState() === undefined
+                ? sinceReadMs
+                : Math.min(sinceReadMs, sinceStartMs, news.configurationAgeMs()),
+        cellRank: () => (peers().cellCount() > 1 ? peers().cellRank() : 0),
+        registrationLife: () => registrationLives.lifeOf(peers().all().length + 1, peers().cellCount()),
+        lockRank() {
+            const state = news.readingState();
+            if (state !== undefined) {
+                return state.place.rank;
+            }
+            const ids = peers().live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
+            return ids.filter(id => id < selfId()).length;
+        },
+    };
+}
--- a/src/proxy/registry.ts
+++ b/src/proxy/registry.ts
@@ -1,4 +1,5 @@
 /** This product's keys in the store: registered hosts, the records of primaries, and the failover lock. */
+import type * as neverthrow from "neverthrow";
 import * as z from "zod";
 import * as decode from "../core/decode.js";
 import * as leadership from "../core/leadership.js";
@@ -74,16 +75,41 @@
         : undefined;
 }
 
+/** Creates a function like `parse` that parses only those registrations again that differ from the previous call. */
+export function createParser(): typeof parse {
+    let known = new Map<string, { readonly text: string; readonly host: ParsedHost }>();
+    return (era, items) => {
+        const next: typeof known = new Map();
+        const snapshot = parse(era, items, item => {
+            const previous = known.get(item.key);
+            const host = previous?.text === item.value ? previous.host : parseHost(item);
+            next.set(item.key, { text: item.value, host });
+            return host;
+        });
+        known = next;
+        return snapshot;
+    };
+}
+
+type ParsedHost = ReturnType<typeof parseHost>;
+
+function parseHost(item: store.Item): neverthrow.Result<messages.Member, string> {
+    return decode.json(messages.member, item.value);
+}
+
 /** Parses the items below the prefix of an era; an item that can't be parsed is reported in `corruptKeys`. */
-export function parse(era: number, items: readonly store.Item[]): Snapshot {
+export function parse(
+    era: number,
+    items: readonly store.Item[],
+    hostOf: (item: store.Item) => ParsedHost = parseHost,
+): Snapshot {
     const hosts: messages.Member[] = [];
     const records: StoredRecord[] = [];
     const corruptKeys: string[] = [];
     let failoverLock: FailoverLock | undefined;
     for (const item of items) {
         if (item.key.startsWith(hostKey(era, ""))) {
-            const parsed = decode.json(messages.member, item.value);
-            parsed.match(value => void hosts.push(value), () => void corruptKeys.push(item.key));
+            hostOf(item).match(value => void hosts.push(value), () => void corruptKeys.push(item.key));
         }
         else if (item.key.startsWith(recordKey(era, ""))) {
             const parsed = decode.json(leadership.schema, item.value);
--- a/src/proxy/restored.test.ts
+++ b/src/proxy/restored.test.ts
@@ -1,20 +1,11 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
+import * as invariants from "../../standins/invariants.js";
+import * as simulatedEndpoints from "../../standins/simulatedendpoints.js";
 import * as simulatedFleets from "../../standins/simulatedfleet.js";
 import * as storeEra from "../core/storeera.js";
 import * as registry from "./registry.js";
 
-/** Endpoints that lead although an endpoint of a later term does too, and whose work a host would acknowledge. */
-function staleAcknowledgers(fleet: simulatedFleets.Fleet): readonly string[] {
-    const newestTerm = Math.max(...fleet.endpoints.filter(endpoint => endpoint.primary).map(entry => entry.term));
-    const replaced = fleet.endpoints.filter(endpoint => endpoint.primary && endpoint.term < newestTerm);
-    return fleet.hosts.flatMap((host, index) =>
-        fleet.down.has(index) ? [] : replaced
-            .filter(endpoint => host.leadership.mayAcknowledge(simulatedFleets.group, endpoint.id, fleet.clock.now()))
-            .map(endpoint => `host-${index} acknowledges ${endpoint.id}`)
-    );
-}
-
 /** Hosts that hold a proof in an era whose records have not been restored. */
 function unsettledProofs(fleet: simulatedFleets.Fleet): readonly string[] {
     const era = fleet.store.era();
@@ -31,7 +22,7 @@
 }
 
 /** Checks that tokens only rise, and that no two holders use the same one. */
-function checkTokens(promotions: readonly simulatedFleets.Promotion[]): void {
+function checkTokens(promotions: readonly simulatedEndpoints.Promotion[]): void {
     promotions.forEach(({ token, holder }, index) => {
         const previous = promotions[index - 1];
         if (previous !== undefined) {
@@ -46,7 +37,7 @@
     const primaries = fleet.endpoints.filter(endpoint => endpoint.primary && endpoint.alive);
     const primary = primaries.sort((left, right) => right.term - left.term)[0];
     return fleet.hosts.every((host, index) => {
-        const record = host.leadership.find(simulatedFleets.group);
+        const record = host.leadership.find(simulatedEndpoints.group);
         return fleet.down.has(index)
             || (host.leadership.isTrusted(nowMs) && host.leadership.proofAgeMs(nowMs) <= simulatedFleets.maxProofAgeMs
                 && record?.changing === false && record.primary === primary?.id);
@@ -103,7 +94,7 @@
         const eventCount = fleet.events.length;
         const elapsedMs = await waitUntil(fleet, () => isSettled(fleet), 10_000);
         chai.expect(elapsedMs).to.be.below(2_000);
-        chai.expect(staleAcknowledgers(fleet)).to.deep.equal([]);
+        chai.expect(invariants.staleAcknowledgers(fleet)).to.deep.equal([]);
         chai.expect(fleet.promotions).to.have.length(1);
         chai.expect(fleet.events.slice(eventCount).map(([, name]) => name)).not.to.include("primarySuspected");
     });
@@ -156,21 +147,21 @@
         await waitUntil(fleet, () => fleet.events.some(([, name]) => name === "primaryFenced"), 6_000);
         fleet.store.restore(copy);
         const violations: string[] = [];
-        await fleet.clock.advance(8_000, () => violations.push(...staleAcknowledgers(fleet)));
+        await fleet.clock.advance(8_000, () => violations.push(...invariants.staleAcknowledgers(fleet)));
         chai.expect(violations).to.deep.equal([]);
         checkTokens(fleet.promotions);
-        chai.expect(fleet.hosts[1]?.leadership.find(simulatedFleets.group)?.primary).not.to.equal(old?.id);
+        chai.expect(fleet.hosts[1]?.leadership.find(simulatedEndpoints.group)?.primary).not.to.equal(old?.id);
     });
 
     it("stops a change of primary whose lock was lost, before its next call", async () => {
         await fleet.clock.advance(5_000);
         const copy = fleet.store.copy();
         fleet.endpoints[0]?.cutFrom.add(0).add(1).add(2).add(3);
-        const record = (): string => fleet.store.get(registry.recordKey(1, simulatedFleets.group)) ?? "";
+        const record = (): string => fleet.store.get(registry.recordKey(1, simulatedEndpoints.group)) ?? "";
         await waitUntil(fleet, () => record().includes('"changing":true'), 6_000);
         fleet.store.restore(copy);
         const violations: string[] = [];
-        await fleet.clock.advance(8_000, () => violations.push(...staleAcknowledgers(fleet)));
+        await fleet.clock.advance(8_000, () => violations.push(...invariants.staleAcknowledgers(fleet)));
         chai.expect(violations).to.deep.equal([]);
         chai.expect(fleet.promotions.filter(({ token }) => token < storeEra.order(2, 0))).to.deep.equal([]);
         chai.expect(isSettled(fleet)).to.equal(true);
@@ -190,7 +181,7 @@
     it("gives no proof before the records are restored, not even to a host that missed a promotion", async () => {
         await fleet.clock.advance(5_000);
         const copy = fleet.store.copy();
-        const old = fleet.endpoints[0] as simulatedFleets.Endpoint;
+        const old = fleet.endpoints[0] as simulatedEndpoints.Endpoint;
         const [holder = 0] = fleet.events.find(([, name]) => name === "dutyTaken") ?? [];
         const apart = (holder + 1) % 4;
         fleet.cutFromStore.add(apart);
@@ -204,7 +195,7 @@
         const violations: string[] = [];
         await fleet.clock.advance(
             10_000,
-            () => violations.push(...staleAcknowledgers(fleet), ...unsettledProofs(fleet)),
+            () => violations.push(...invariants.staleAcknowledgers(fleet), ...unsettledProofs(fleet)),
         );
         chai.expect(violations).to.deep.equal([]);
     });
@@ -223,7 +214,7 @@
     it("learns of a promotion that nobody remembers from the endpoints, before anybody relies on the record", async () => {
         await fleet.clock.advance(5_000);
         const copy = fleet.store.copy();
-        const old = fleet.endpoints[0] as simulatedFleets.Endpoint;
+        const old = fleet.endpoints[0] as simulatedEndpoints.Endpoint;
         [0, 1, 2, 3].forEach(host => old.cutFrom.add(host));
         await waitUntil(fleet, () => fleet.endpoints.some(endpoint => endpoint.primary && endpoint !== old), 6_000);
         [0, 1, 2, 3].forEach(host => fleet.kill(host));
@@ -232,9 +223,9 @@
         old.primary = true;
         [0, 1, 2, 3].forEach(host => fleet.start(host));
         const violations: string[] = [];
-        await fleet.clock.advance(12_000, () => violations.push(...staleAcknowledgers(fleet)));
+        await fleet.clock.advance(12_000, () => violations.push(...invariants.staleAcknowledgers(fleet)));
         chai.expect(violations).to.deep.equal([]);
-        chai.expect(fleet.hosts[0]?.leadership.find(simulatedFleets.group)?.primary).not.to.equal(old.id);
+        chai.expect(fleet.hosts[0]?.leadership.find(simulatedEndpoints.group)?.primary).not.to.equal(old.id);
     });
 
     it("holds over random orders of drills, cuts, kills, writes and promotions", async () => {
@@ -259,9 +250,9 @@
                 let version = 1;
                 const check = (nowMs: number): void => {
                     violations.push(
-                        ...staleAcknowledgers(tested),
+                        ...invariants.staleAcknowledgers(tested),
                         ...unsettledProofs(tested),
-                        ...simulatedFleets.rivalHolders(tested),
+                        ...invariants.rivalHolders(tested),
                     );
                     tested.hosts.forEach((host, index) => {
                         const inForce = host.storeSync.policy().version;
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -1,13 +1,14 @@
 /** Keeps a host in sync with the store: its own key prefix, the operators' configuration and the endpoint listing. */
 import type * as neverthrow from "neverthrow";
-import * as crypto from "node:crypto";
 import * as backoffs from "../core/backoff.js";
 import type * as directory from "../core/directory.js";
 import * as policies from "../core/policy.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
+import * as listings from "./endpointlisting.js";
 import type * as events from "./events.js";
 import type * as messages from "./messages.js";
+import type * as schedules from "./readingschedule.js";
 import * as registrations from "./registration.js";
 import * as registry from "./registry.js";
 
@@ -30,23 +31,12 @@
     readonly events: events.EventLog;
     /** A random number in [0, 1). */
     random(): number;
-    /** Age of the newest proof that this host has, read by itself or received from a peer, in milliseconds. */
-    proofAgeMs(): number;
+    /** When this host calls the store. */
+    readonly schedule: schedules.Schedule;
     /** The newest endpoint listing that a peer reported. */
     newestPeerListing(): messages.EndpointListing | undefined;
-    /**
-     * Rank of this host among the `pollerCount` hosts that poll the store on behalf of all; `pollerCount` for every
-     * other host.
-     */
-    pollRank(): number;
-    /** True when this host is one of those that watch the configuration on behalf of all. */
-    watchesConfiguration(): boolean;
-    /** Rank of this host in its cell, if the fleet has several cells; 0 otherwise. */
-    cellRank(): number;
-    /** True while a registered host is suspected to have failed. */
-    hasSuspectedHosts(): boolean;
-    /** True while this host holds the failover lock. */
-    holdsFailoverLock(): boolean;
+    /** True if the failover lock of this host ends with that lease. */
+    carriesLock(leaseId: number): boolean;
     /** Called with the contents of this product's key prefix and the time at which they were requested. */
     onSnapshot(snapshot: registry.Snapshot, requestedAtMs: number): void;
     /** Called after the policy or the endpoints have changed. */
@@ -60,16 +50,21 @@
     configuration(): { readonly version: number; readonly text: string };
     /** Applies a configuration received from a peer if it is valid and newer. */
     offerConfiguration(text: string): void;
-    /** Applies an endpoint listing, requested from the store at the given time, if it is newer. */
-    offerEndpoints(endpoints: readonly directory.Endpoint[], requestedAtMs: number): void;
-    /** Time at which the newest endpoint listing was requested; undefined before the first one. */
-    listedAtMs(): number | undefined;
-    /** Hash and age of the newest endpoint listing. */
-    endpointListing(): messages.EndpointListing | undefined;
+    readonly endpointListing: listings.EndpointListing;
+    /** When the store last confirmed the configuration of this host as the newest one; -Infinity if it never did. */
+    configurationReadMs(): number;
+    /** Time since this host last requested the key prefix, in milliseconds; Infinity if it never did. */
+    sinceKeyReadMs(): number;
+    /** True if that request failed. */
+    keyReadFailed(): boolean;
     /** Time since the store last responded to this host, in milliseconds; Infinity when it never did. */
     storeResponseAgeMs(): number;
     /** Lease of this host's registration; undefined when the lease may have expired. */
     leaseId(): number | undefined;
+    /** Time to live of that lease, in milliseconds; undefined without one. */
+    leaseTtlMs(): number | undefined;
+    /** Notes whether a reading of the store, requested at that time, shows this host's registration. */
+    observeRegistration(isRegistered: boolean, requestedAtMs: number): void;
     /** Time since a request to the store last failed, in milliseconds; Infinity when none did. */
     sinceStoreFailureMs(): number;
     /** Reads this product's key prefix now; undefined when the store doesn't respond. */
@@ -84,30 +79,8 @@
     close(): void;
 }
 
-/** Interval at which the ages of the proof and of the endpoint listing are checked. */
-const pollIntervalMs = 250;
-/**
- * Age of the proof at which the host with poll rank 0 reads the key prefix again; the others receive the proof in its
- * digests. Half of the maximum age of a proof.
- */
-const proofRefreshMs = 750;
-/** The same for the holder of the failover lock, which bases its decisions on what it has read itself. */
-const coordinatorProofRefreshMs = 500;
-/** Delay for each poll rank, so that a newer proof can arrive from a host of a lower rank first. */
-const proofRankDelayMs = 120;
-/** Maximum interval between reads of the key prefix, from which a host also learns which hosts are registered. */
-const maxReadIntervalMs = 10_000;
-/** The same while a host is suspected: once its registration ends, its share of limits and connections is free. */
-const suspectedReadIntervalMs = 1_500;
-/**
- * Age of the endpoint listing at which the host with poll rank 0 reads it again. Draining endpoints must be noticed
- * within seconds.
- */
-const listingRefreshMs = 1_250;
-/** Delay for each poll rank, so that a newer listing can arrive from a host of a lower rank first. */
-const listingRankDelayMs = 350;
-/** Time limit of one watch, so that a connection that has gone silent is noticed; the next one goes on from there. */
-const watchTimeoutMs = 2_000;
+/** Interval at which the age of the endpoint listing is checked. */
+const listingCheckIntervalMs = 250;
 /** Time after which the configuration is read although no watch has shown a change. It may be large, so this is rare. */
 const rereadIntervalMs = 30_000;
 /**
@@ -117,38 +90,29 @@
 const firstReadDelayMs = 2_500;
 /** Delay for each rank in the cell, so that the hosts of a cell that got nothing don't read all at once. */
 const firstReadRankDelayMs = 500;
-/** Interval at which a host without a configuration checks whether it is its turn to read it. */
+/** Time for which a host that starts waits for its first snapshot before it reads the endpoint listing. */
+const maxSnapshotWaitMs = 300;
+/** Interval at which a host without a configuration or listing checks whether it is its turn to read it. */
 const firstReadCheckMs = 20;
 /** Pauses after failed reads: a proof is needed soon, the others are also received from other hosts. */
 const keysBackoff = { firstMs: 250, maxMs: 1_000 } as const;
 const listBackoff = { firstMs: 250, maxMs: 2_000 } as const;
 /** Mean pause between two syncs of the configuration. */
 const configurationIntervalMs = 250;
-/** Number of hosts that poll the store on behalf of all: one, and two that take over if nothing new arrives from it. */
-export const pollerCount = 3;
-/** Length of the hash of an endpoint listing, in base64 characters. */
-const hashLength = 10;
-
-/** Text that is the same for equal listings, in whatever order. */
-function serialise(endpoints: readonly directory.Endpoint[]): string {
-    const rows = endpoints.map(entry =>
-        JSON.stringify([entry.id, entry.address, entry.draining, entry.primary, entry.born])
-    );
-    return rows.sort().join();
-}
-
 /** Creates a store sync with an empty policy and no endpoints; it contacts the store once started. */
 export function createStoreSync(options: Options): StoreSync {
     const { clock, store: client, events } = options;
     let policy = policies.empty;
     let text = "";
-    let listedAtMs: number | undefined;
     let lastFailureMs: number | undefined;
     let lastResponseMs = -Infinity;
     let configurationReadMs = -Infinity;
-    let listing: readonly directory.Endpoint[] = [];
-    let listingHash = "";
     let lastReadMs = -Infinity;
+    let keyReadFailed = false;
+    /** Ends the wait of the watch under way, if there is one. */
+    let abandonWatch: (() => void) | undefined;
+    const parseKeys = registry.createParser();
+    const endpointListing = listings.createEndpointListing(options);
     let lastSnapshotMs: number | undefined;
     let startedMs = -Infinity;
     let storeDown = false;
@@ -163,6 +127,7 @@
         }
         if (error !== undefined && (error.kind === "refused" || error.kind === "unanswered")) {
             lastFailureMs = clock.now();
+            abandonWatch?.();
             if (!storeDown) {
                 storeDown = true;
                 events.emit("storeLost", { reason: error.message, kind: error.kind });
@@ -209,10 +174,11 @@
         const requestedAtMs = clock.now();
         lastReadMs = requestedAtMs;
         const response = tracked(await client.range(registry.prefix(era)));
+        keyReadFailed = response.isErr();
         if (response.isErr()) {
             return undefined;
         }
-        const snapshot = registry.parse(era, response.value.items);
+        const snapshot = parseKeys(era, response.value.items);
         if (!snapshot.settled) {
             // No host can change a record yet, which is as if the store were away.
             lastFailureMs = clock.now();
@@ -227,25 +193,26 @@
     }
 
     async function syncKeys(): Promise<boolean> {
-        const maxAgeMs = options.holdsFailoverLock()
-            ? coordinatorProofRefreshMs
-            : proofRefreshMs + options.pollRank() * proofRankDelayMs;
-        const intervalMs = options.hasSuspectedHosts() ? suspectedReadIntervalMs : maxReadIntervalMs;
-        const due = options.proofAgeMs() > maxAgeMs || clock.now() - lastReadMs > intervalMs;
+        const due = options.schedule.isKeyReadDue(clock.now() - lastReadMs);
         return !due || options.era.current() === undefined || await refresh() !== undefined;
     }
 
     /** Takes the listing as current when a peer has recently read the same one, and reads it otherwise. */
     async function syncEndpoints(): Promise<boolean> {
+        const { schedule } = options;
         const peerListing = options.newestPeerListing();
-        const maxAgeMs = listingRefreshMs + options.pollRank() * listingRankDelayMs;
-        if (peerListing !== undefined && peerListing.hash === listingHash && peerListing.ageMs < maxAgeMs) {
-            offerEndpoints(listing, clock.now() - peerListing.ageMs);
-        }
-        const ageMs = clock.now() - (listedAtMs ?? -Infinity);
-        const due = ageMs >= maxAgeMs
-            || (peerListing !== undefined && peerListing.hash !== listingHash && peerListing.ageMs < ageMs);
-        return !due || await readEndpoints();
+        const maxAgeMs = schedule.maxListingAgeMs();
+        const isKnown = peerListing === undefined || peerListing.ageMs >= maxAgeMs
+            || endpointListing.confirm(peerListing.hash, clock.now() - peerListing.ageMs);
+        const ageMs = clock.now() - (endpointListing.listedAtMs() ?? -Infinity);
+        const due = ageMs >= maxAgeMs || (!isKnown && schedule.isSingleCell() && peerListing.ageMs < ageMs);
+        return !due || leavesFirstListing() || await readEndpoints();
+    }
+
+    /** True while a host that starts waits for its first snapshot, or for another host of its cell to read the listing. */
+    function leavesFirstListing(): boolean {
+        const delayMs = lastSnapshotMs === undefined ? maxSnapshotWaitMs : options.schedule.firstListingDelayMs();
+        return endpointListing.listedAtMs() === undefined && clock.now() - startedMs < delayMs;
     }
 
     /** Resolves to false without a response. */
@@ -267,78 +234,78 @@
             rejectedKeys.delete(item.key);
             return [entry.value];
         });
-        offerEndpoints(endpoints, requestedAtMs);
+        endpointListing.offer(endpoints, requestedAtMs);
         return true;
     }
 
-    function offerEndpoints(next: readonly directory.Endpoint[], requestedAtMs: number): void {
-        if (requestedAtMs <= (listedAtMs ?? -Infinity)) {
-            return;
-        }
-        const before = serialise(options.directory.all());
-        options.directory.replace(next, requestedAtMs);
-        listedAtMs = requestedAtMs;
-        listing = next;
-        listingHash = crypto.createHash("sha1").update(serialise(next)).digest("base64").slice(0, hashLength);
-        if (serialise(options.directory.all()) !== before) {
-            const endpoints = options.directory.all().map(entry => ({
-                id: entry.id,
-                group: entry.group,
-                draining: entry.draining,
-                primary: entry.primary,
-            }));
-            events.emit("endpointsChanged", { endpoints });
-            options.onChange();
-        }
-    }
-
     async function readConfiguration(): Promise<number | undefined> {
+        const requestedAtMs = clock.now();
         const response = tracked(await client.read(options.layout.configurationKey));
         if (response.isErr()) {
             return undefined;
         }
-        configurationReadMs = clock.now();
+        configurationReadMs = requestedAtMs;
         offerConfiguration(response.value.item.value);
         return response.value.revision;
     }
 
     /** True while another host of the cell is to read the configuration first. */
     function leavesFirstRead(): boolean {
-        const rank = options.cellRank();
+        const rank = options.schedule.cellRank();
         const delayMs = rank === 0 ? 0 : firstReadDelayMs + rank * firstReadRankDelayMs;
         return lastSnapshotMs === undefined
             ? clock.now() - startedMs < firstReadDelayMs
             : clock.now() - startedMs < delayMs;
     }
 
+    /** Watches the configuration; resolves to undefined when the watch failed or the store stopped to respond. */
+    async function watchConfiguration(revision: number): Promise<number | undefined> {
+        const requestedAtMs = clock.now();
+        const abandoned = new Promise<undefined>(resolve => {
+            abandonWatch = options.schedule.isSingleCell() ? undefined : () => resolve(undefined);
+        });
+        // A watch may time out although the store is healthy, so its result isn't tracked as availability.
+        const timeoutMs = options.schedule.watchTimeoutMs();
+        const watched = await Promise.race([
+            client.watch(options.layout.configurationKey, revision, timeoutMs),
+            abandoned,
+        ]);
+        abandonWatch = undefined;
+        if (watched === undefined || watched.isErr()) {
+            return undefined;
+        }
+        configurationReadMs = requestedAtMs;
+        watched.value.items
+            .filter(item => item.key === options.layout.configurationKey)
+            .forEach(item => offerConfiguration(item.value));
+        return watched.value.revision;
+    }
+
     async function syncConfiguration(): Promise<boolean> {
+        const { schedule } = options;
+        const nowMs = clock.now();
+        const ageMs = schedule.configurationAgeMs(nowMs - configurationReadMs, nowMs - startedMs);
         const waits = policy.version === 0
             ? leavesFirstRead()
-            : !options.watchesConfiguration() && clock.now() - configurationReadMs < rereadIntervalMs;
+            : !schedule.watchesConfiguration() && ageMs < rereadIntervalMs;
         if (waits) {
             return true;
         }
-        let revision = await readConfiguration();
+        const firstRevision = await readConfiguration();
+        let revision = firstRevision;
         const era = options.era.current();
-        const isCurrent = (): boolean => !closed && options.watchesConfiguration() && options.era.current() === era;
+        const isCurrent = (): boolean => !closed && schedule.watchesConfiguration() && options.era.current() === era;
         const rereadAtMs = clock.now() + rereadIntervalMs;
         while (revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
-            // A watch may time out although the store is healthy, so its result isn't tracked as availability.
-            const watched = await client.watch(options.layout.configurationKey, revision, watchTimeoutMs);
-            if (watched.isErr()) {
-                return true;
-            }
-            revision = watched.value.revision;
-            watched.value.items
-                .filter(item => item.key === options.layout.configurationKey)
-                .forEach(item => offerConfiguration(item.value));
+            revision = await watchConfiguration(revision);
         }
-        return revision !== undefined;
+        return firstRevision !== undefined;
     }
 
     const registration = registrations.createRegistration({
         ...options,
         tracked,
+        life: () => options.schedule.registrationLife(),
         // Only a read that finds this host registered counts as proof.
         onRegistered: refresh,
     });
@@ -368,13 +335,14 @@
         refresh,
         policy: () => policy,
         configuration: () => ({ version: policy.version, text }),
-        offerEndpoints,
-        endpointListing: () => (listedAtMs === undefined
-            ? undefined
-            : { hash: listingHash, ageMs: Math.ceil(clock.now() - listedAtMs) }),
+        endpointListing,
+        configurationReadMs: () => configurationReadMs,
+        sinceKeyReadMs: () => clock.now() - lastReadMs,
+        keyReadFailed: () => keyReadFailed,
         storeResponseAgeMs: () => clock.now() - lastResponseMs,
-        listedAtMs: () => listedAtMs,
         leaseId: () => registration.leaseId(),
+        leaseTtlMs: () => registration.leaseTtlMs(),
+        observeRegistration: (isRegistered, requestedAtMs) => registration.observe(isRegistered, requestedAtMs),
         sinceStoreFailureMs: () => (lastFailureMs === undefined ? Infinity : clock.now() - lastFailureMs),
         invalidateLease: () => registration.invalidate(),
         storeRestored() {
@@ -383,9 +351,11 @@
         },
         start() {
             startedMs = clock.now();
-            void repeat(registration.renew, () => registrations.renewIntervalMs, keysBackoff);
-            void repeat(syncKeys, () => pollIntervalMs, keysBackoff);
-            void repeat(syncEndpoints, () => pollIntervalMs, listBackoff);
+            void repeat(registration.renew, registration.renewIntervalMs, keysBackoff);
+            void repeat(syncKeys, options.schedule.checkIntervalMs, keysBackoff);
+            const listingPauseMs = (): number =>
+                endpointListing.listedAtMs() === undefined ? firstReadCheckMs : listingCheckIntervalMs;
+            void repeat(syncEndpoints, listingPauseMs, listBackoff);
             const configurationPauseMs = (): number =>
                 policy.version === 0 ? firstReadCheckMs : configurationIntervalMs;
             void repeat(syncConfiguration, configurationPauseMs, listBackoff);
--- /dev/null
+++ b/standins/simulatedendpoints.ts
@@ -0,0 +1,123 @@
+/** The endpoints of simulated hosts: one group, its primary, and the platform's call that names another one. */
+import * as neverthrow from "neverthrow";
+import * as policies from "../src/core/policy.js";
+import type * as connections from "../src/ports/connection.js";
+import type * as storeSyncs from "../src/proxy/storesync.js";
+import type * as simulation from "./simulation.js";
+
+/** Name of the only group. */
+export const group = "ledger";
+const peerDelayMs = 2;
+const promoteMs = 300;
+const timeoutMs = 100;
+
+/** An endpoint. */
+export interface Endpoint {
+    readonly id: string;
+    primary: boolean;
+    term: number;
+    alive: boolean;
+    /** Hosts that can't reach it. */
+    readonly cutFrom: Set<number>;
+}
+
+/** A promotion that the platform was asked for. */
+export interface Promotion {
+    readonly endpoint: string;
+    readonly holder: string;
+    readonly token: number;
+}
+
+/** The endpoints of the group. */
+export interface Endpoints {
+    readonly all: readonly Endpoint[];
+    readonly promotions: readonly Promotion[];
+    /** Sends a command from a host to an endpoint; resolves to undefined without a reply. */
+    send(
+        host: number,
+        id: string,
+        request: connections.ControlCommand,
+    ): Promise<connections.Status | undefined>;
+    promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>>;
+    /** Writes the entries of the endpoints into the store. */
+    list(): void;
+}
+
+/** Layout of the documents in the simulated store. */
+export const storeLayout: storeSyncs.StoreLayout = {
+    configurationKey: "op/config",
+    endpointsPrefix: "servers/",
+    parsePolicy: text =>
+        neverthrow.ok({
+            ...policies.empty,
+            version: Number(text),
+            groups: new Map([[group, { name: group, maxConnections: 16 }]]),
+            organisations: new Map([["cluj", { name: "cluj", ratePerSecond: 100, burst: 100 }]]),
+        }),
+    parseEndpoint: (key, text) =>
+        neverthrow.ok({
+            id: key.slice("servers/".length),
+            group,
+            address: key,
+            failureDomain: "zone-0",
+            slots: 2,
+            draining: false,
+            primary: (JSON.parse(text) as { readonly primary: boolean }).primary,
+            born: 1,
+            sequence: 1,
+        }),
+};
+
+/** Creates three endpoints, the first of which is primary. */
+export function createEndpoints(clock: simulation.Clock, store: simulation.Store): Endpoints {
+    const endpoints: Endpoint[] = ["i-1", "i-2", "i-3"].map((id, index) => ({
+        id,
+        primary: index === 0,
+        term: 1,
+        alive: true,
+        cutFrom: new Set(),
+    }));
+    const promotions: Promotion[] = [];
+
+    const list = (): void =>
+        endpoints.filter(endpoint => endpoint.alive).forEach(endpoint =>
+            store.put(`servers/${endpoint.id}`, JSON.stringify({ primary: endpoint.primary }))
+        );
+
+    async function send(
+        host: number,
+        id: string,
+        request: connections.ControlCommand,
+    ): Promise<connections.Status | undefined> {
+        const endpoint = endpoints.find(candidate => candidate.id === id);
+        await clock.sleep(peerDelayMs);
+        if (endpoint === undefined || !endpoint.alive || endpoint.cutFrom.has(host)) {
+            await clock.sleep(timeoutMs);
+            return undefined;
+        }
+        if (request.kind === "stepDown" && request.term > endpoint.term) {
+            endpoint.primary = false;
+        }
+        const received = { term: endpoint.term, index: 1 };
+        return { primary: endpoint.primary, term: endpoint.term, received } as connections.Status;
+    }
+
+    async function promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>> {
+        await clock.sleep(peerDelayMs);
+        const endpoint = endpoints.find(candidate => candidate.id === id);
+        if (endpoint === undefined || !endpoint.alive) {
+            return neverthrow.ok(false);
+        }
+        promotions.push({ endpoint: id, holder, token });
+        if (!endpoint.primary || endpoints.some(other => other.term > endpoint.term)) {
+            clock.after(promoteMs, () => {
+                endpoint.term = Math.max(...endpoints.map(other => other.term)) + 1;
+                endpoint.primary = true;
+                list();
+            });
+        }
+        return neverthrow.ok(true);
+    }
+
+    return { all: endpoints, promotions, send, promote, list };
+}
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -3,50 +3,34 @@
 import * as directories from "../src/core/directory.js";
 import * as leaderships from "../src/core/leadership.js";
 import * as limiters from "../src/core/limiter.js";
-import * as policies from "../src/core/policy.js";
 import * as storeEra from "../src/core/storeera.js";
 import type * as connections from "../src/ports/connection.js";
 import * as clusterViews from "../src/proxy/clusterview.js";
 import * as configurationTransfer from "../src/proxy/configurationtransfer.js";
 import * as coordinators from "../src/proxy/coordinator.js";
 import type * as eventLogs from "../src/proxy/events.js";
+import * as failoverLocks from "../src/proxy/failoverlock.js";
 import * as messages from "../src/proxy/messages.js";
 import * as gossip from "../src/proxy/peers.js";
+import * as readingSchedules from "../src/proxy/readingschedule.js";
 import * as replacers from "../src/proxy/replacement.js";
 import * as restorers from "../src/proxy/restoration.js";
+import type * as storeNewsExchange from "../src/proxy/storenews.js";
 import * as storeSyncs from "../src/proxy/storesync.js";
+import * as simulatedEndpoints from "./simulatedendpoints.js";
 import * as simulatedNetworks from "./simulatednetwork.js";
 import * as simulation from "./simulation.js";
 
-/** Name of the only group. */
-export const group = "ledger";
 /** Age at which a proof expires, in milliseconds. */
 export const maxProofAgeMs = 1_500;
 const graceMs = 150;
-const peerDelayMs = 2;
-const promoteMs = 300;
-
-/** An endpoint. */
-export interface Endpoint {
-    readonly id: string;
-    primary: boolean;
-    term: number;
-    alive: boolean;
-    /** Hosts that can't reach it. */
-    readonly cutFrom: Set<number>;
-}
-
-/** A promotion that the platform was asked for. */
-export interface Promotion {
-    readonly endpoint: string;
-    readonly holder: string;
-    readonly token: number;
-}
 
 /** One host, as far as tests look into it. */
 export interface Host {
     readonly leadership: leaderships.Leadership;
     readonly storeSync: storeSyncs.StoreSync;
+    readonly storeNews: storeNewsExchange.StoreNews;
+    readonly peers: gossip.Peers;
     readonly era: storeEra.StoreEra;
     /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
     fencingToken(): number | undefined;
@@ -57,9 +41,9 @@
 export interface Fleet extends simulatedNetworks.Faults {
     readonly clock: simulation.Clock;
     readonly store: simulation.Store;
-    readonly endpoints: readonly Endpoint[];
+    readonly endpoints: readonly simulatedEndpoints.Endpoint[];
     readonly hosts: Host[];
-    readonly promotions: readonly Promotion[];
+    readonly promotions: readonly simulatedEndpoints.Promotion[];
     /** Events of all hosts, in order. */
     readonly events: readonly (readonly [host: number, name: eventLogs.EventName])[];
     start(host: number): void;
@@ -73,20 +57,12 @@
     readonly peers: gossip.Peers;
     readonly clusterView: clusterViews.ClusterView;
     readonly storeSync: storeSyncs.StoreSync;
-    readonly directory: directories.Directory;
+    readonly storeNews: storeNewsExchange.StoreNews;
     readonly source: configurationTransfer.Source;
 }
 
 const silent = { kind: "unreachable" as const };
 
-/** Hosts that believe that they hold the failover lock, if there are several. */
-export function rivalHolders(fleet: Fleet): readonly string[] {
-    const holders = fleet.hosts.flatMap((host, index) =>
-        fleet.down.has(index) || host.fencingToken() === undefined ? [] : [`host-${index}`]
-    );
-    return holders.length > 1 ? [`${holders.join(" and ")} hold the lock`] : [];
-}
-
 /** A sequence of numbers in [0, 1) that is the same each time. */
 export function createNumbers(): () => number {
     let seed = 0;
@@ -105,85 +81,18 @@
     const clock = simulation.createClock();
     const simulatedStore = simulation.createStore(clock);
     const faults = simulatedNetworks.createFaults();
-    const endpoints: Endpoint[] = ["i-1", "i-2", "i-3"].map((id, index) => ({
-        id,
-        primary: index === 0,
-        term: 1,
-        alive: true,
-        cutFrom: new Set(),
-    }));
-    const promotions: Promotion[] = [];
+    const { all: endpoints, promotions, send, promote, list } = simulatedEndpoints.createEndpoints(
+        clock,
+        simulatedStore,
+    );
     const events: (readonly [number, eventLogs.EventName])[] = [];
     const running: Running[] = [];
     let starts = 0;
 
     const put = (version: number): void => simulatedStore.put("op/config", String(version));
-    const list = (): void =>
-        endpoints.filter(endpoint => endpoint.alive).forEach(endpoint =>
-            simulatedStore.put(`servers/${endpoint.id}`, JSON.stringify({ primary: endpoint.primary }))
-        );
     put(1);
     list();
 
-    const storeLayout: storeSyncs.StoreLayout = {
-        configurationKey: "op/config",
-        endpointsPrefix: "servers/",
-        parsePolicy: text =>
-            neverthrow.ok({
-                ...policies.empty,
-                version: Number(text),
-                groups: new Map([[group, { name: group, maxConnections: 16 }]]),
-                organisations: new Map([["cluj", { name: "cluj", ratePerSecond: 100, burst: 100 }]]),
-            }),
-        parseEndpoint: (key, text) =>
-            neverthrow.ok({
-                id: key.slice("servers/".length),
-                group,
-                address: key,
-                failureDomain: "zone-0",
-                slots: 2,
-                draining: false,
-                primary: (JSON.parse(text) as { readonly primary: boolean }).primary,
-                born: 1,
-                sequence: 1,
-            }),
-    };
-
-    async function send(
-        host: number,
-        id: string,
-        request: connections.ControlCommand,
-    ): Promise<connections.Status | undefined> {
-        const endpoint = endpoints.find(candidate => candidate.id === id);
-        await clock.sleep(peerDelayMs);
-        if (endpoint === undefined || !endpoint.alive || endpoint.cutFrom.has(host)) {
-            await clock.sleep(100);
-            return undefined;
-        }
-        if (request.kind === "stepDown" && request.term > endpoint.term) {
-            endpoint.primary = false;
-        }
-        const received = { term: endpoint.term, index: 1 };
-        return { primary: endpoint.primary, term: endpoint.term, received } as connections.Status;
-    }
-
-    async function promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>> {
-        await clock.sleep(peerDelayMs);
-        const endpoint = endpoints.find(candidate => candidate.id === id);
-        if (endpoint === undefined || !endpoint.alive) {
-            return neverthrow.ok(false);
-        }
-        promotions.push({ endpoint: id, holder, token });
-        if (!endpoint.primary || endpoints.some(other => other.term > endpoint.term)) {
-            clock.after(promoteMs, () => {
-                endpoint.term = Math.max(...endpoints.map(other => other.term)) + 1;
-                endpoint.primary = true;
-                list();
-            });
-        }
-        return neverthrow.ok(true);
-    }
-
     /** Answers a call from another host. */
     async function handle(to: number, method: string, request: unknown): Promise<unknown> {
         const remote = running[to];
@@ -199,10 +108,11 @@
             case messages.peer.configuration.name:
                 return remote.source.part((request as { readonly offset: number }).offset);
             case messages.peer.catalogue.name: {
-                const listedAtMs = remote.storeSync.listedAtMs();
-                const ageMs = listedAtMs === undefined ? undefined : clock.now() - listedAtMs;
-                return { endpoints: remote.directory.all(), ageMs };
+                const { endpointListing } = remote.storeSync;
+                return { endpoints: endpointListing.endpoints(), ageMs: endpointListing.summary(clock.now())?.ageMs };
             }
+            case messages.peer.news.name:
+                return remote.storeNews.answer(request as messages.NewsQuestion);
             default:
                 return undefined;
         }
@@ -260,26 +170,43 @@
             localDigest: () => clusterView.localDigest(),
             onDigest: (digest, requestedAtMs) => clusterView.mergeDigest(digest, requestedAtMs),
         });
+        const { news: storeNews, schedule } = readingSchedules.createReading({
+            clock: hostClock,
+            era,
+            events: eventLog,
+            leadership,
+            random,
+            self: () => self,
+            peers: () => peers,
+            storeSync: () => storeSync,
+            clusterView: () => clusterView,
+            coordinator: () => coordinator,
+            holdsFailoverLock: () => lock.fencingToken() !== undefined,
+            count: () => undefined,
+        });
         const storeSync: storeSyncs.StoreSync = storeSyncs.createStoreSync({
             self: () => self,
             store: client,
             era,
-            layout: storeLayout,
+            layout: simulatedEndpoints.storeLayout,
             directory,
             clock: hostClock,
             events: eventLog,
             random,
-            proofAgeMs: () => leadership.proofAgeMs(hostClock.now()),
+            schedule,
             newestPeerListing: () => clusterView.newestPeerListing(),
-            pollRank: () => clusterView.pollRank(),
-            watchesConfiguration: () => clusterView.watchesConfiguration(),
-            cellRank: () => (peers.cellCount() > 1 ? peers.cellRank() : 0),
-            hasSuspectedHosts: () => peers.usageReports().suspectedHosts > 0,
-            holdsFailoverLock: () => lock.fencingToken() !== undefined,
-            onSnapshot: (snapshot, requestedAtMs) => clusterView.applyStoreContents(snapshot, requestedAtMs),
-            onChange: () => clusterView.configurationChanged(),
+            carriesLock: lease => lock.isCarriedBy(lease),
+            onSnapshot: (snapshot, requestedAtMs) => storeNews.applySnapshot(snapshot, requestedAtMs),
+            onChange() {
+                clusterView.configurationChanged();
+                storeNews.publish();
+            },
+        });
+        const lock = failoverLocks.createHeldLock({
+            clock: hostClock,
+            store: () => client,
+            storeSync: () => storeSync,
         });
-        const lock = coordinators.createHeldLock(() => storeSync);
         const prober = {
             send: (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
                 send(host, endpoint.id, request),
@@ -318,6 +245,7 @@
                 applyRecord: record => clusterView.applyRecord(record),
                 applyAndFence: record => clusterView.applyAndFence(record),
             }),
+            schedule,
             groups: () => clusterView.groups(),
         });
         const clusterView: clusterViews.ClusterView = clusterViews.createClusterView({
@@ -339,20 +267,26 @@
             onChange: () => undefined,
         });
         const source = configurationTransfer.createSource(storeSync.configuration);
-        running[host] = { peers, clusterView, storeSync, directory, source };
+        running[host] = { peers, clusterView, storeSync, storeNews, source };
         peers.start();
         storeSync.start();
         coordinator.start();
-        const stopEvaluation = hostClock.every(100, () => clusterView.evaluateProof());
+        const stopEvaluation = hostClock.every(100, () => {
+            clusterView.evaluateProof();
+            storeNews.check();
+        });
         return {
             leadership,
             storeSync,
+            storeNews,
+            peers,
             era,
             fencingToken: () => lock.fencingToken(),
             close() {
                 closed = true;
                 stopEvaluation();
                 coordinator.close();
+                storeNews.close();
                 storeSync.close();
                 peers.close();
             },
