--- a/src/proxy/readingschedule.ts
+++ b/src/proxy/readingschedule.ts
@@ -3,6 +3,7 @@
  * what each of them has read. In a larger fleet one host reads for all, see `core/storereading`.
  */
 import * as registrationLives from "../core/registrationlife.js";
+import type * as storeReading from "../core/storereading.js";
 import * as storeNews from "./storenews.js";
 
 /** When this host calls the store. */
@@ -22,10 +23,10 @@
     /** Time limit of one watch of the configuration, in milliseconds. */
     watchTimeoutMs(): number;
     /**
-     * Time since the configuration of this host is known to have been the newest one, in milliseconds, given the times
-     * since this host read it and since it started.
+     * True if a host that doesn't watch the configuration has to read it, given the times since it last did so and since it
+     * started.
      */
-    configurationAgeMs(sinceReadMs: number, sinceStartMs: number): number;
+    isConfigurationReadDue(sinceReadMs: number, sinceStartMs: number): boolean;
     /** Rank of this host in its cell, if the fleet has several cells; 0 otherwise. */
     cellRank(): number;
     /** The life of a host's registration. */
@@ -36,8 +37,9 @@
 
 /** Interval at which the ages of the proof and of the endpoint listing are checked. */
 const checkIntervalMs = 250;
-/** The same for a host that may read for a fleet of several cells. */
+/** The same in a fleet of several cells, for the host that reads for it and for the others. */
 const readerCheckIntervalMs = 50;
+const fleetCheckIntervalMs = 100;
 /**
  * Age of the proof at which the host with poll rank 0 reads the key prefix again; the others receive the proof in its
  * digests. Half of the maximum age of a proof.
@@ -62,6 +64,8 @@
 const listingTakeoverMs = 2_300;
 /** Age of the newest reading of the keys from which the store counts as away for all hosts. */
 const staleReadingMs = 1_500;
+/** Time that the reader gets to read the listing and the configuration after the store has come back. */
+const readerTimeMs = 2_300;
 /** Time for which a host that starts waits for the listing of the first host of its cell, and for each rank there. */
 const firstListingDelayMs = 600;
 const firstListingRankDelayMs = 100;
@@ -76,6 +80,11 @@
 /** The same in a fleet of several cells, whose reader notices a silent connection by its other calls. */
 const fleetWatchTimeoutMs = 10_000;
 
+/** Interval at which a host of a single cell reads the configuration although no watch has shown a change. */
+const rereadIntervalMs = 30_000;
+/** Time since the configuration was last known to be the newest one, from which a host of a larger fleet reads it. */
+const maxConfigurationAgeMs = 15_000;
+
 /** What a host has learnt from the store, and when it calls it. */
 export interface Reading {
     readonly news: storeNews.StoreNews;
@@ -95,6 +104,17 @@
     const selfId = (): string => options.self().id;
     const proofAgeMs = (): number => options.leadership.proofAgeMs(options.clock.now());
 
+    /**
+     * Time since the store was last away for all hosts, to this one's knowledge; 0 while it is. Attempts to read the listing
+     * or the configuration would then fail as well.
+     */
+    function storeRespondsForMs(state: storeReading.State): number {
+        if (state.readingAgeMs > staleReadingMs) {
+            staleAtMs = state.nowMs;
+        }
+        return state.nowMs - staleAtMs;
+    }
+
     /** Rank of this host among those that poll the store for a single cell; `pollerCount` if it is not one of them. */
     function pollRank(): number {
         const candidates = peers().live()
@@ -118,22 +138,23 @@
             const state = news.readingState();
             return state === undefined ? isKeyReadDueInCell(sinceReadMs) : news.planner.isReadDue(state);
         },
-        checkIntervalMs: () => (news.readingState() === undefined ? checkIntervalMs : readerCheckIntervalMs),
+        checkIntervalMs() {
+            const state = news.readingState();
+            if (state === undefined) {
+                return checkIntervalMs;
+            }
+            return news.readsForOthers(state) ? readerCheckIntervalMs : fleetCheckIntervalMs;
+        },
         maxListingAgeMs() {
             const state = news.readingState();
             if (state === undefined) {
                 return listingRefreshMs + pollRank() * listingRankDelayMs;
             }
-            // While nobody reads the keys, the store is away, and attempts to read the listing would fail as well.
-            if (state.readingAgeMs > staleReadingMs) {
-                staleAtMs = state.nowMs;
-                return Infinity;
+            const respondsForMs = storeRespondsForMs(state);
+            if (news.readsForOthers(state)) {
+                return respondsForMs > 0 ? listingRefreshMs : Infinity;
             }
-            if (state.holdsLock || news.planner.isReader(state)) {
-                return listingRefreshMs;
-            }
-            const readerHadTime = state.nowMs - staleAtMs >= listingTakeoverMs;
-            return readerHadTime ? listingTakeoverMs + 2 * state.place.takeoverDelayMs : Infinity;
+            return respondsForMs >= readerTimeMs ? listingTakeoverMs + 2 * state.place.takeoverDelayMs : Infinity;
         },
         firstListingDelayMs() {
             const rank = news.readingState() === undefined ? 0 : peers().cellRank();
@@ -144,13 +165,17 @@
             const state = news.readingState();
             return state === undefined
                 ? pollRank() < pollerCount
-                : state.holdsLock || news.planner.availablePreceding(state) < fleetWatcherCount;
+                : news.readsForOthers(state) || news.planner.availablePreceding(state) < fleetWatcherCount;
         },
         watchTimeoutMs: () => (news.readingState() === undefined ? watchTimeoutMs : fleetWatchTimeoutMs),
-        configurationAgeMs: (sinceReadMs, sinceStartMs) =>
-            news.readingState() === undefined
-                ? sinceReadMs
-                : Math.min(sinceReadMs, sinceStartMs, news.configurationAgeMs()),
+        isConfigurationReadDue(sinceReadMs, sinceStartMs) {
+            const state = news.readingState();
+            if (state === undefined) {
+                return sinceReadMs >= rereadIntervalMs;
+            }
+            return storeRespondsForMs(state) >= readerTimeMs
+                && Math.min(sinceReadMs, sinceStartMs, news.configurationAgeMs()) >= maxConfigurationAgeMs;
+        },
         cellRank: () => (peers().cellCount() > 1 ? peers().cellRank() : 0),
         registrationLife: () => registrationLives.lifeOf(peers().all().length + 1, peers().cellCount()),
         lockRank() {
--- a/src/proxy/storenews.ts
+++ b/src/proxy/storenews.ts
@@ -49,6 +49,8 @@
     /** What the decisions about reading the store are based on; undefined while the fleet is a single cell. */
     readingState(): storeReading.State | undefined;
     readonly planner: storeReading.Planner;
+    /** True if this host reads the store for the others: by its place, or because no other host has done so lately. */
+    readsForOthers(state: storeReading.State): boolean;
     gauges(): metrics.ReadingGauges;
     /** Time since the store confirmed the configuration of this host as the newest one, in milliseconds. */
     configurationAgeMs(): number;
@@ -73,6 +75,10 @@
 const answerTimeoutMs = 500;
 /** Difference from which a reading counts as newer than another one that may be the same. */
 const minProgressMs = 20;
+/** Time for which the place among the hosts that read is kept, as it follows from all known hosts. */
+const placeTtlMs = 200;
+/** Number of readings in a row from which a host counts as one that reads for the others. */
+const minOwnReadings = 2;
 const hashLength = 10;
 
 const hash = (rows: readonly string[]): string =>
@@ -97,6 +103,12 @@
     let configurationAtMs = -Infinity;
     let closed = false;
 
+    /** Number of readings in a row that this host has read itself. */
+    let ownReadingCount = 0;
+    let cachedPlace:
+        | { readonly lockHolder: string | undefined; readonly atMs: number; readonly value: storeReading.Place }
+        | undefined;
+
     const reading = (): Reading | undefined => (newest?.era === era.current() ? newest : undefined);
 
     function publish(): void {
@@ -114,6 +126,7 @@
             });
         }
         newest = next;
+        ownReadingCount = next.source === options.self().id ? ownReadingCount + 1 : 0;
         storeSync().observeRegistration(isRegisteredIn(next.hosts), next.requestedAtMs);
     }
 
@@ -130,16 +143,25 @@
         return clock.now() - Math.max(configurationAtMs, storeSync().configurationReadMs());
     }
 
+    function placeFor(lockHolder: string | undefined): storeReading.Place {
+        const nowMs = clock.now();
+        if (
+            cachedPlace === undefined || cachedPlace.lockHolder !== lockHolder || nowMs - cachedPlace.atMs > placeTtlMs
+        ) {
+            const layout = { self: options.self().id, lockHolder, ...peers().actingHosts() };
+            cachedPlace = { lockHolder, atMs: nowMs, value: storeReading.placeOf(layout) };
+        }
+        return cachedPlace.value;
+    }
+
     function readingState(): storeReading.State | undefined {
         if (peers().cellCount() === 1) {
             return undefined;
         }
         const holdsLock = options.holdsFailoverLock();
-        const self = options.self().id;
-        const lockHolder = holdsLock ? self : reading()?.lockHolder;
         return {
             nowMs: clock.now(),
-            place: storeReading.placeOf({ self, lockHolder, ...peers().actingHosts() }),
+            place: placeFor(holdsLock ? options.self().id : reading()?.lockHolder),
             holdsLock,
             readingAgeMs: Math.min(readingAgeMs(), leadership.proofAgeMs(clock.now())),
             sinceOwnReadMs: storeSync().sinceKeyReadMs(),
@@ -280,6 +302,9 @@
         check,
         readingState,
         planner,
+        readsForOthers: state =>
+            state.holdsLock || planner.isReader(state)
+            || (reading() !== undefined && ownReadingCount >= minOwnReadings),
         configurationAgeMs,
         gauges: () => ({
             readsStoreForOthers: reading()?.source === options.self().id,
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -260,7 +260,6 @@
 
     /** Watches the configuration; resolves to undefined when the watch failed or the store stopped to respond. */
     async function watchConfiguration(revision: number): Promise<number | undefined> {
-        const requestedAtMs = clock.now();
         const abandoned = new Promise<undefined>(resolve => {
             abandonWatch = options.schedule.isSingleCell() ? undefined : () => resolve(undefined);
         });
@@ -274,7 +273,7 @@
         if (watched === undefined || watched.isErr()) {
             return undefined;
         }
-        configurationReadMs = requestedAtMs;
+        configurationReadMs = clock.now();
         watched.value.items
             .filter(item => item.key === options.layout.configurationKey)
             .forEach(item => offerConfiguration(item.value));
@@ -284,10 +283,10 @@
     async function syncConfiguration(): Promise<boolean> {
         const { schedule } = options;
         const nowMs = clock.now();
-        const ageMs = schedule.configurationAgeMs(nowMs - configurationReadMs, nowMs - startedMs);
         const waits = policy.version === 0
             ? leavesFirstRead()
-            : !schedule.watchesConfiguration() && ageMs < rereadIntervalMs;
+            : !schedule.watchesConfiguration()
+                && !schedule.isConfigurationReadDue(nowMs - configurationReadMs, nowMs - startedMs);
         if (waits) {
             return true;
         }
