--- a/src/proxy/storenews.test.ts
+++ b/src/proxy/storenews.test.ts
@@ -25,8 +25,11 @@
     readonly maxBurst: number;
     readonly oldestProofMs: number;
     readonly oldestListingMs: number;
+    /** True if some proof was said to be younger than the newest reading of the keys by anybody. */
+    readonly hasProofTooYoung: boolean;
 }
 
+const isKeyRead = (call: simulation.Call): boolean => call.kind === "range" && call.subject.startsWith("hyssophatch/");
 const isRead = (call: simulation.Call): boolean => call.kind === "range" || call.kind === "read";
 
 /** Lets time pass; `hosts` are those whose proofs and listings are observed, all that run by default. */
@@ -37,10 +40,20 @@
 ): Promise<Observation> {
     const fromMs = fleet.clock.now();
     let [oldestProofMs, oldestListingMs] = [0, 0];
+    let hasProofTooYoung = false;
+    const { calls: allCalls } = fleet.store;
+    let newestReadMs = Math.max(...allCalls.filter(isKeyRead).map(call => call.atMs));
+    let seenCount = allCalls.length;
     await fleet.clock.advance(durationMs, nowMs => {
+        for (; seenCount < allCalls.length; seenCount += 1) {
+            const call = allCalls[seenCount];
+            newestReadMs = call !== undefined && isKeyRead(call) ? call.atMs : newestReadMs;
+        }
         hosts.filter(host => !fleet.down.has(host) && !fleet.frozen.has(host)).forEach(host => {
             const observed = fleet.hosts[host];
-            oldestProofMs = Math.max(oldestProofMs, observed?.leadership.proofAgeMs(nowMs) ?? Infinity);
+            const proofAgeMs = observed?.leadership.proofAgeMs(nowMs) ?? Infinity;
+            oldestProofMs = Math.max(oldestProofMs, proofAgeMs);
+            hasProofTooYoung ||= nowMs - proofAgeMs > newestReadMs;
             const listedAtMs = observed?.storeSync.endpointListing.listedAtMs() ?? -Infinity;
             oldestListingMs = Math.max(oldestListingMs, nowMs - listedAtMs);
         });
@@ -49,13 +62,14 @@
     const reads = calls.filter(isRead);
     return {
         pricedCalls: calls.reduce((sum, call) => sum + (call.kind === "renew" ? 0.1 : 1), 0),
-        keyReads: reads.filter(call => call.subject.startsWith("hyssophatch/")).length,
+        keyReads: reads.filter(isKeyRead).length,
         maxBurst: Math.max(
             0,
             ...reads.map(first => reads.filter(({ atMs }) => atMs >= first.atMs && atMs < first.atMs + 100).length),
         ),
         oldestProofMs,
         oldestListingMs,
+        hasProofTooYoung,
     };
 }
 
@@ -83,6 +97,7 @@
             chai.expect(otherCalls.length / 8, `${hostCount} hosts`).to.be.below(3);
             chai.expect(observed.pricedCalls / 8).to.be.below(2.6 + hostCount * 0.055);
             chai.expect(observed.oldestProofMs).to.be.below(1_000);
+            chai.expect(observed.hasProofTooYoung).to.equal(false);
             chai.expect(observed.oldestListingMs).to.be.below(2_500);
             fleet.close();
         }
@@ -243,6 +258,7 @@
             await fleet.clock.advance(6_000, check);
             const healed = await observe(fleet, 4_000);
             chai.expect([...new Set(rivals)]).to.deep.equal([]);
+            chai.expect(healed.hasProofTooYoung).to.equal(false);
             chai.expect(healed.oldestProofMs).to.be.below(simulatedFleets.maxProofAgeMs);
             chai.expect(healed.keyReads).to.be.below(20);
             fleet.close();
--- a/src/proxy/storenews.ts
+++ b/src/proxy/storenews.ts
@@ -109,7 +109,11 @@
         | { readonly lockHolder: string | undefined; readonly atMs: number; readonly value: storeReading.Place }
         | undefined;
 
-    const reading = (): Reading | undefined => (newest?.era === era.current() ? newest : undefined);
+    /** The newest reading, unless it is of another era or its age is not known since a clock jump. */
+    function reading(): Reading | undefined {
+        const isKnown = newest !== undefined && clusterView().noClockJumpSince(newest.requestedAtMs);
+        return isKnown && newest?.era === era.current() ? newest : undefined;
+    }
 
     function publish(): void {
         number += 1;
