Count a host as registered from any reading that shows it

Cause: a host whose own reading right after its registration failed never took a proof from another host's news. Ruled out: to read again until it succeeds; a reading of another host that shows the registration is as good, because a failover that changes a record after it finds the host, and a change before it is in the records that come with it. Change: storenews notes the era of any reading that shows this host; the property tests of failover and restoration pass.

--- a/src/proxy/storenews.ts
+++ b/src/proxy/storenews.ts
@@ -97,7 +97,7 @@
     const waiting = new Set<() => void>();
     const knownByHost = new Map<string, messages.NewsQuestion["known"]>();
     let newest: Reading | undefined;
-    /** The era in which this host has read the keys itself and found itself registered. */
+    /** The era in which a reading has shown this host as registered. */
     let registeredEra: number | undefined;
     let number = 0;
     let configurationAtMs = -Infinity;
@@ -131,7 +131,9 @@
         }
         newest = next;
         ownReadingCount = next.source === options.self().id ? ownReadingCount + 1 : 0;
-        storeSync().observeRegistration(isRegisteredIn(next.hosts), next.requestedAtMs);
+        const isRegistered = isRegisteredIn(next.hosts);
+        registeredEra = isRegistered ? next.era : registeredEra;
+        storeSync().observeRegistration(isRegistered, next.requestedAtMs);
     }
 
     function isRegisteredIn(hosts: readonly messages.Member[]): boolean {
@@ -318,9 +320,6 @@
         applySnapshot(snapshot, requestedAtMs) {
             clusterView().applyStoreContents(snapshot, requestedAtMs);
             const isRegistered = isRegisteredIn(snapshot.hosts);
-            if (isRegistered) {
-                registeredEra = snapshot.era;
-            }
             // A settled reading without this host's registration proves nothing, so another host has to read as well.
             if (snapshot.era !== era.current() || (snapshot.settled && !isRegistered)) {
                 storeSync().observeRegistration(isRegistered, requestedAtMs);
