Forget hosts that are gone also in a fleet of several cells, and keep those that only the store has lost

Cause: in a fleet of several cells a host that was removed for good stayed known to all for ever (simulated, 20 hosts: all 19 others after 98 s), as hosts reminded each other of it; each change of primary then waits for its confirmation until proofs expire. And an unregistered host of another cell, alive but cut off from the store, was dropped each 15 s until somebody mentioned it again, and in between a change of primary would not have asked it. Change: a host mentions only those that are registered, that it hears itself, or that a host of their own cell has mentioned to it. A mention keeps a host of another cell known for 15 s. Within a cell nothing changes but that a silent host isn't mentioned.

--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -35,6 +35,9 @@
     lastFailedMs: number;
     /** True while the store lists it. */
     registered: boolean;
+    /** When another host last mentioned it, and when one of its own cell did; not for hosts of this host's cell. */
+    lastMentionedMs: number;
+    lastVouchedMs: number;
     /** True until its first digest arrives, and while polls of it fail after it has become silent. */
     unreachable: boolean;
     channel: network.Channel | undefined;
@@ -60,6 +63,8 @@
 export interface Fleet {
     /** Assigns the hosts to cells anew, after some were added or removed. */
     membershipChanged(): void;
+    /** Name of the cell of a host; empty if it is unknown, and in a fleet of one cell. */
+    cellOf(id: string): string;
     /** Discards the data of hosts and cells that no longer exist. */
     evictDeparted(): void;
     /**
@@ -225,6 +230,7 @@
             hostsByCell = undefined;
             cellByHost = undefined;
         },
+        cellOf,
         evictDeparted() {
             remote.retain(new Set(otherCells().map(([name]) => name)), clock.now());
             admissionCounter.retain(new Set([self.incarnation, ...cellPeers().map(peer => peer.member.incarnation)]));
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -78,7 +78,7 @@
 const pollTimeoutMs = 400;
 /** Process numbers are random below this, so that two are hardly ever equal. */
 const processNumberRange = 2 ** 31;
-/** Silence after which an unregistered host is removed. */
+/** Time without a sign of an unregistered host after which it is no longer mentioned, and later removed. */
 const forgetAfterMs = 15_000;
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
@@ -134,6 +134,8 @@
             lastRefusedMs: -Infinity,
             lastFailedMs: -Infinity,
             registered: false,
+            lastMentionedMs: clock.now(),
+            lastVouchedMs: -Infinity,
             unreachable: true,
             channel: undefined,
             header: undefined,
@@ -167,13 +169,31 @@
         return { peer, digest: digestCodec.decode(encoded, peer.header.value) };
     }
 
+    /**
+     * True if this host tells others of a host: while that one is registered, heard by this host, or vouched for by its own
+     * cell. What is known only from further mentions isn't passed on, as hosts would remind each other of a dead one for ever.
+     */
+    function isMentioned(peer: fleets.PeerState): boolean {
+        const lastSignMs = Math.max(peer.digest === undefined ? -Infinity : peer.lastHeardMs, peer.lastVouchedMs);
+        return peer.registered || clock.now() - lastSignMs <= forgetAfterMs;
+    }
+
+    function noteMention(member: messages.Member, sender: string): void {
+        const peer = peers.get(member.id) ?? addPeer(member);
+        const cell = fleet.cellOf(member.id);
+        if (cell !== fleet.cellOf(self.id)) {
+            peer.lastMentionedMs = clock.now();
+            peer.lastVouchedMs = cell === fleet.cellOf(sender) ? clock.now() : peer.lastVouchedMs;
+        }
+    }
+
     /** Encodes this host's digest. `acknowledgedHeader` is the number of its header that the receiver already has. */
     function encodeDigest(
         receiver: fleets.PeerState | undefined,
         acknowledgedHeader: number | undefined,
     ): messages.EncodedDigest {
         const localDigest = options.localDigest();
-        const knownMembers = [...peers.values()].map(peer => peer.member);
+        const knownMembers = [...peers.values()].filter(isMentioned).map(peer => peer.member);
         const cellSummaries = fleet.cellSummaries(localDigest, receiver?.member.id);
         const digest = { ...localDigest, self: options.self(), knownMembers, cellSummaries };
         return encoder.encode(digest, acknowledgedHeader, receiver?.header?.number);
@@ -194,11 +214,9 @@
         peer.lastPolledMs = Math.max(peer.lastPolledMs, requestedAtMs ?? -Infinity);
         peer.unreachable = false;
         fleet.merge(encoded[0], digest, peer.lastHeardMs, requestedAtMs);
-        for (const member of digest.knownMembers) {
-            if (member.id !== self.id && !peers.has(member.id)) {
-                addPeer(member);
-            }
-        }
+        digest.knownMembers.filter(member => member.id !== self.id).forEach(member =>
+            noteMention(member, digest.self.id)
+        );
         options.onDigest(digest, requestedAtMs);
     }
 
@@ -262,7 +280,7 @@
     function runRound(): void {
         const nowMs = clock.now();
         for (const [id, peer] of peers) {
-            if (!peer.registered && nowMs - peer.lastHeardMs > forgetAfterMs) {
+            if (!peer.registered && nowMs - Math.max(peer.lastHeardMs, peer.lastMentionedMs) > forgetAfterMs) {
                 peer.channel?.close();
                 peers.delete(id);
                 fleet.membershipChanged();
--- a/src/proxy/storenews.test.ts
+++ b/src/proxy/storenews.test.ts
@@ -207,6 +207,19 @@
         chai.expect(holderOf(fleet)).to.be.at.least(0);
     });
 
+    it("forgets a host that is gone, and keeps one that only the store has lost", async () => {
+        await start(18);
+        fleet.kill(4);
+        fleet.cutFromStore.add(5);
+        const knowing = (host: number): number =>
+            fleet.hosts.filter((other, index) =>
+                index !== 4 && index !== host && other.peers.find(`host-${host}`) !== undefined
+            ).length;
+        const counts: number[] = [];
+        await fleet.clock.advance(70_000, nowMs => void (nowMs % 1_000 === 0 && counts.push(knowing(5))));
+        chai.expect([knowing(4), Math.min(...counts)]).to.deep.equal([0, 16]);
+    });
+
     it("brings a new configuration and a new endpoint to all hosts within 2 s", async () => {
         await start(24);
         fleet.configure(2);
