--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -5,6 +5,7 @@
 import * as evidence from "../core/evidence.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as storeReading from "../core/storereading.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as messages from "./messages.js";
@@ -36,6 +37,9 @@
     lastFailedMs: number;
     /** True while the store lists it. */
     registered: boolean;
+    /** When another host last mentioned it, and when one of its own cell did; not for hosts of this host's cell. */
+    lastMentionedMs: number;
+    lastVouchedMs: number;
     /** True until its first digest arrives, and while polls of it fail after it has become silent. */
     unreachable: boolean;
     channel: network.Channel | undefined;
@@ -61,6 +65,8 @@
 export interface Fleet {
     /** Assigns the hosts to cells anew, after some were added or removed. */
     membershipChanged(): void;
+    /** Name of the cell of a host; empty if it is unknown, and in a fleet of one cell. */
+    cellOf(id: string): string;
     /** Discards the data of hosts and cells that no longer exist. */
     evictDeparted(): void;
     /**
@@ -74,6 +80,11 @@
     cellRank(): number;
     /** The summaries of cells to send to the host of that id. */
     cellSummaries(digest: LocalDigest, receiverId: string | undefined): readonly messages.CellSummary[];
+    /**
+     * The available hosts in the order in which they act for others: those of this host's cell, and the first one of each
+     * cell.
+     */
+    actingHosts(): Pick<storeReading.Layout, "ownCell" | "firstOfCells">;
     /** Hosts that this one polls in the next round. */
     gossipTargets(): readonly PeerState[];
     /** True if the host is of another cell, which needs this cell's summary and not the usage of single hosts. */
@@ -150,10 +161,10 @@
     }
 
     /**
-     * The delegates of a cell: the strongest of its hosts that are neither leaving nor unreachable. An unreachable host is
-     * eligible again, and so polled again, when its last failed poll is longer ago than `suspectTimeoutMs`.
+     * The hosts that are neither leaving nor unreachable, the strongest first. An unreachable host is eligible again, and so
+     * polled again, when its last failed poll is longer ago than `suspectTimeoutMs`.
      */
-    function delegatesOf(ids: readonly string[]): readonly string[] {
+    function eligibleHosts(ids: readonly string[]): readonly string[] {
         const eligible = ids.filter(id => {
             const peer = peers.get(id);
             if (peer === undefined) {
@@ -162,7 +173,12 @@
             return !peer.member.leaving && (!peer.unreachable || clock.now() - peer.lastFailedMs > suspectTimeoutMs);
         });
         const carriers = eligible.map(id => peers.get(id)?.member ?? self);
-        return carriers.sort(duties.compare).slice(0, cellAssignment.delegatesPerCell).map(carrier => carrier.id);
+        return carriers.sort(duties.compare).map(carrier => carrier.id);
+    }
+
+    /** The delegates of a cell: the first of its eligible hosts. */
+    function delegatesOf(ids: readonly string[]): readonly string[] {
+        return eligibleHosts(ids).slice(0, cellAssignment.delegatesPerCell);
     }
 
     /**
@@ -248,13 +264,15 @@
             hostsByCell = undefined;
             cellByHost = undefined;
         },
+        cellOf,
         evictDeparted() {
             remote.retain(new Set(otherCells().map(([name]) => name)), clock.now());
             admissionCounter.retain(new Set([self.incarnation, ...cellPeers().map(peer => peer.member.incarnation)]));
         },
         merge(sender, digest, receivedAtMs, requestedAtMs) {
             const ownCell = cellOf(self.id);
-            if (cellOf(digest.self.id) === ownCell) {
+            const senderCell = cellOf(digest.self.id);
+            if (senderCell === ownCell) {
                 admissionCounter.observe(digest.self.incarnation, digest.organisationUsage);
             }
             for (const summary of digest.cellSummaries) {
@@ -262,7 +280,7 @@
                     admissionCounter.adopt(summary.baselineId, admissions.countsOf(summary.organisationUsage));
                 }
                 else {
-                    remote.merge(sender, summary, receivedAtMs, requestedAtMs);
+                    remote.merge(sender, summary, receivedAtMs, requestedAtMs, summary.cell !== senderCell);
                 }
             }
         },
@@ -270,6 +288,17 @@
             admissionCounter.observe(self.incarnation, digest.organisationUsage);
             return summariesFor(digest, receiverId);
         },
+        actingHosts() {
+            const ownCell = cellOf(self.id);
+            const cells = [...assignCells()].sort(([left], [right]) => (left < right ? -1 : 1));
+            // Hosts of other cells exchange no digests with this one, so they count as available while registered.
+            const firstOfCells = cells.flatMap(([name, ids]) =>
+                name === ownCell
+                    ? eligibleHosts(ids).slice(0, 1)
+                    : eligibleHosts(ids).filter(id => peers.get(id)?.registered === true).slice(0, 1)
+            );
+            return { ownCell: eligibleHosts(assignCells().get(ownCell) ?? []), firstOfCells };
+        },
         cellCount: () => assignCells().size,
         cellRank: () => (assignCells().get(cellOf(self.id)) ?? []).indexOf(self.id),
         gossipTargets: () => [...cellPeers(), ...counterpartDelegates()],
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -3,6 +3,8 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as promotion from "../core/promotion.js";
+import type * as storeReading from "../core/storereading.js";
 import type * as rpc from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
@@ -40,6 +42,7 @@
     live(): readonly fleets.Peer[];
     /** All known hosts, this one excluded. */
     all(): readonly fleets.Peer[];
+    find(id: string): fleets.Peer | undefined;
     /** Receives the digest of another host, and returns that of this one. */
     handleExchange(encoded: messages.EncodedDigest): messages.EncodedDigest;
     /** Calls a method of another host. */
@@ -63,6 +66,11 @@
     cellCount(): number;
     /** Rank of this host by id among the hosts of its cell. */
     cellRank(): number;
+    /**
+     * The available hosts in the order in which they act for others: those of this host's cell, and the first one of each
+     * cell.
+     */
+    actingHosts(): Pick<storeReading.Layout, "ownCell" | "firstOfCells">;
     /** Sorted ids of all hosts that may hold connections to endpoints, this one included; the same array while unchanged. */
     connectionHolders(): readonly string[];
     start(): void;
@@ -82,13 +90,35 @@
 const pollTimeoutMs = 400;
 /** Process numbers are random below this, so that two are hardly ever equal. */
 const processNumberRange = 2 ** 31;
-/** Silence after which an unregistered host is removed. */
+/** Time without a sign of an unregistered host after which it is no longer mentioned, and later removed. */
 const forgetAfterMs = 15_000;
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
 
 /** Time for which the list of hosts that may hold connections is used again; it is needed for each question of a pool. */
 const holderListIntervalMs = 100;
+/** How well hosts reach the primary of a record, by their digests. */
+export function contactsWithPrimary(
+    hosts: readonly fleets.Peer[],
+    record: leadership.Record,
+    nowMs: number,
+): readonly promotion.Contact[] {
+    return hosts.flatMap(peer => {
+        const contact = peer.digest?.primaryContacts.find(candidate =>
+            candidate.group === record.group && candidate.epoch === record.epoch
+        );
+        if (contact === undefined) {
+            return [];
+        }
+        // The time since the digest arrived is added to the age of the last answer, but not to the duration of a failure,
+        // which is known only up to the digest.
+        const { answerAgeMs, failingForMs } = contact;
+        return [{
+            answerAgeMs: answerAgeMs === undefined ? undefined : answerAgeMs + nowMs - peer.lastHeardMs,
+            failingForMs,
+        }];
+    });
+}
 
 /** Creates the gossip of a host that knows no others yet. */
 export function createPeers(options: Options): Peers {
@@ -120,6 +150,8 @@
             lastRefusedMs: -Infinity,
             lastFailedMs: -Infinity,
             registered: false,
+            lastMentionedMs: clock.now(),
+            lastVouchedMs: -Infinity,
             unreachable: true,
             channel: undefined,
             header: undefined,
@@ -153,13 +185,31 @@
         return { peer, digest: digestCodec.decode(encoded, peer.header.value) };
     }
 
+    /**
+     * True if this host tells others of a host: while that one is registered, heard by this host, or vouched for by its own
+     * cell. What is known only from further mentions isn't passed on, as hosts would remind each other of a dead one for ever.
+     */
+    function isMentioned(peer: fleets.PeerState): boolean {
+        const lastSignMs = Math.max(peer.digest === undefined ? -Infinity : peer.lastHeardMs, peer.lastVouchedMs);
+        return peer.registered || clock.now() - lastSignMs <= forgetAfterMs;
+    }
+
+    function noteMention(member: messages.Member, sender: string): void {
+        const peer = peers.get(member.id) ?? addPeer(member);
+        const cell = fleet.cellOf(member.id);
+        if (cell !== fleet.cellOf(self.id)) {
+            peer.lastMentionedMs = clock.now();
+            peer.lastVouchedMs = cell === fleet.cellOf(sender) ? clock.now() : peer.lastVouchedMs;
+        }
+    }
+
     /** Encodes this host's digest. `acknowledgedHeader` is the number of its header that the receiver already has. */
     function encodeDigest(
         receiver: fleets.PeerState | undefined,
         acknowledgedHeader: number | undefined,
     ): messages.EncodedDigest {
         const localDigest = options.localDigest();
-        const knownMembers = [...peers.values()].map(peer => peer.member);
+        const knownMembers = [...peers.values()].filter(isMentioned).map(peer => peer.member);
         const cellSummaries = fleet.cellSummaries(localDigest, receiver?.member.id);
         const usage = receiver !== undefined && fleet.isOfOtherCell(receiver.member.id)
             ? { organisationUsage: {}, endpointUsage: {}, endpointOutcomes: {} }
@@ -183,11 +233,9 @@
         peer.lastPolledMs = Math.max(peer.lastPolledMs, requestedAtMs ?? -Infinity);
         peer.unreachable = false;
         fleet.merge(encoded[0], digest, peer.lastHeardMs, requestedAtMs);
-        for (const member of digest.knownMembers) {
-            if (member.id !== self.id && !peers.has(member.id)) {
-                addPeer(member);
-            }
-        }
+        digest.knownMembers.filter(member => member.id !== self.id).forEach(member =>
+            noteMention(member, digest.self.id)
+        );
         options.onDigest(digest, requestedAtMs);
     }
 
@@ -196,6 +244,14 @@
         return peer.channel;
     }
 
+    /** After a call without a reply: the connection may be dead although the host is healthy, so the next call opens one. */
+    function replaceSilentChannel(peer: fleets.PeerState, usedChannel: network.Channel, requestedAtMs: number): void {
+        if (clock.now() - requestedAtMs >= replaceChannelAfterMs * 0.9 && peer.channel === usedChannel) {
+            usedChannel.close();
+            peer.channel = undefined;
+        }
+    }
+
     async function poll(peer: fleets.PeerState): Promise<void> {
         const { id } = peer.member;
         if (pollsInFlight.has(id)) {
@@ -219,11 +275,7 @@
         if (reply.error.code === failure.Code.ownerUnreachable) {
             peer.lastRefusedMs = requestedAtMs;
         }
-        // The connection may be dead although the host is healthy, so the next attempt opens a new one.
-        if (clock.now() - requestedAtMs >= replaceChannelAfterMs * 0.9 && peer.channel === usedChannel) {
-            usedChannel.close();
-            peer.channel = undefined;
-        }
+        replaceSilentChannel(peer, usedChannel, requestedAtMs);
         if (isSuspected(peer) && !peer.unreachable) {
             peer.unreachable = true;
             options.events.emit("peerLost", { peer: id, reason: reply.error.message });
@@ -252,7 +304,7 @@
     function runRound(): void {
         const nowMs = clock.now();
         for (const [id, peer] of peers) {
-            if (!peer.registered && nowMs - peer.lastHeardMs > forgetAfterMs) {
+            if (!peer.registered && nowMs - Math.max(peer.lastHeardMs, peer.lastMentionedMs) > forgetAfterMs) {
                 peer.channel?.close();
                 peers.delete(id);
                 fleet.membershipChanged();
@@ -296,6 +348,7 @@
     return {
         live,
         all: () => [...peers.values()],
+        find: id => peers.get(id),
         register(members) {
             const others = members.filter(member => member.id !== self.id);
             const ids = new Set(others.map(member => member.id));
@@ -316,10 +369,15 @@
             // The element at index 3 is the number of this host's header that the sender has.
             return encodeDigest(peer, encoded[3] ?? undefined);
         },
-        call(member, method, request, timeoutMs) {
+        async call(member, method, request, timeoutMs) {
             const peer = peers.get(member.id);
-            return (peer === undefined ? options.network.openChannel(member.address) : channelTo(peer))
-                .call(method, request, timeoutMs);
+            const usedChannel = peer === undefined ? options.network.openChannel(member.address) : channelTo(peer);
+            const requestedAtMs = clock.now();
+            const reply = await usedChannel.call(method, request, timeoutMs);
+            if (reply.isErr() && peer !== undefined) {
+                replaceSilentChannel(peer, usedChannel, requestedAtMs);
+            }
+            return reply;
         },
         usageReports: () => fleet.usageReports(),
         endpointUsage: endpoint => fleet.endpointUsage(endpoint),
@@ -327,6 +385,7 @@
         cellRank: () => fleet.cellRank(),
         endpointOutcomes: endpoint => fleet.endpointOutcomes(endpoint),
         viewAgeMs: () => fleet.viewAgeMs(),
+        actingHosts: () => fleet.actingHosts(),
         peerProofs: () => fleet.peerProofs(),
         connectionHolders,
         start() {
