Decide by place which endpoints may take a request, and where primaries belong

Cause: nothing read the operators' evacuations of failure domains, or the regions that routes and organisations allow.

--- a/src/core/placement.test.ts
+++ b/src/core/placement.test.ts
@@ -55,6 +55,11 @@
         chai.expect(choose([{ suspect: true }])).to.equal("near");
     });
 
+    it("leaves out an endpoint that has had its share, unless no other is left", () => {
+        chai.expect(choose([{ rationed: true }, { endpoint: "far", roundTripMs: 17, load: 20 }])).to.equal("far");
+        chai.expect(choose([{ rationed: true }])).to.equal("near");
+    });
+
     it("never chooses a draining replica", () => {
         chai.expect(choose([{ draining: true }, { endpoint: "far", roundTripMs: 17 }])).to.equal("far");
         chai.expect(choose([{ draining: true }])).to.equal(undefined);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,5 @@
 /** Chooses the endpoint of a read by the time in which each endpoint is expected to answer. */
+import type * as eligibility from "./eligibility.js";
 import * as positions from "./position.js";
 
 /** State of an endpoint as known to this host. */
@@ -22,6 +23,8 @@
     readonly appliedPosition: positions.Position | undefined;
     /** Estimated replication lag of the endpoint, in milliseconds. */
     readonly estimatedLagMs: number;
+    /** True if the endpoint has had its share for now; it is chosen only if no other can serve the read. */
+    readonly rationed?: boolean;
 }
 
 /** Replication position that a read must see at least. */
@@ -42,7 +45,7 @@
 /** Why an endpoint was not chosen. */
 export interface Rejection {
     readonly endpoint: string;
-    readonly reason: "draining" | "tried" | "not primary" | "slower";
+    readonly reason: "draining" | "tried" | "not primary" | "slower" | "rationed" | eligibility.Reason;
     readonly expectedMs?: number;
 }
 
@@ -92,7 +95,12 @@
         }
         return reason === undefined;
     });
-    const ranked = eligible
+    const unrationed = eligible.filter(candidate => candidate.rationed !== true);
+    const considered = unrationed.length > 0 ? unrationed : eligible;
+    eligible.filter(candidate => !considered.includes(candidate)).forEach(candidate =>
+        rejected.push({ endpoint: candidate.endpoint, reason: "rationed" })
+    );
+    const ranked = considered
         .map(candidate => ({ endpoint: candidate.endpoint, expectedMs: estimateMs(candidate, requirement.floor) }))
         .sort((left, right) => left.expectedMs - right.expectedMs);
     const [best, ...slower] = ranked;
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -1,4 +1,5 @@
 /** The operators' policy in force: databases, organisations, keys and limits. */
+import type * as homes from "./homes.js";
 
 /** Which commits the reads of a database must see. */
 export type Consistency =
@@ -23,6 +24,8 @@
     readonly priority: number;
     /** True when callers need no key. */
     readonly allowsAnonymous: boolean;
+    /** Regions in which the route's requests may be handled; everywhere if undefined. */
+    readonly homes?: homes.Homes;
 }
 
 /** One organisation and its limits. */
@@ -32,6 +35,8 @@
     readonly ratePerSecond: number;
     /** Number of operations that may exceed the rate at once, over all hosts. */
     readonly burst: number;
+    /** Regions in which the organisation's requests may be handled; everywhere if undefined. */
+    readonly homes?: homes.Homes;
 }
 
 /** A database group: a primary and its replicas. */
@@ -64,6 +69,12 @@
     transactionIdleMs: 0,
 };
 
+/** Regions that routes and organisations name as homes. */
+export function homeRegions(policy: Policy): readonly string[] {
+    const entries = [...policy.routes.values(), ...policy.organisations.values()];
+    return [...new Set(entries.flatMap(entry => [...entry.homes ?? []]))];
+}
+
 /** The policy with the higher version; a host never returns to an earlier one. */
 export function newer(held: Policy, offered: Policy): Policy {
     return offered.version > held.version ? offered : held;
--- a/src/core/promotion.test.ts
+++ b/src/core/promotion.test.ts
@@ -44,6 +44,28 @@
         chai.expect(promotion.evaluate({ ...evidence, unlisted: true }).reason).to.equal("gone");
     });
 
+    it("moves an evacuated primary even while it drains, but a misplaced one only if it is otherwise healthy", () => {
+        const evacuated = { ...evidence, draining: true, misplaced: "evacuated" as const };
+        chai.expect(promotion.evaluate(evacuated).reason).to.equal("evacuated");
+        const outside = { ...evidence, misplaced: "outside homes" as const };
+        chai.expect(promotion.evaluate(outside)).to.deep.equal({ replace: true, reason: "outside homes" });
+        chai.expect(promotion.evaluate({ ...outside, draining: true }).reason).to.equal("draining");
+    });
+
+    it("prefers a region that serves more routes only among replicas with the same log", () => {
+        const far = {
+            endpoint: "far",
+            received: { term: 1, index: 6 },
+            draining: false,
+            servedRoutes: 2,
+            roundTripMs: 17,
+        };
+        const near = { ...far, endpoint: "near", servedRoutes: 1, roundTripMs: 1 };
+        chai.expect(promotion.chooseCandidate([near, far])?.endpoint).to.equal("far");
+        const complete = { ...near, received: { term: 1, index: 7 } };
+        chai.expect(promotion.chooseCandidate([complete, far])?.endpoint).to.equal("near");
+    });
+
     it("chooses the replica that received most, then one that isn't draining, then the nearest", () => {
         const candidate = (
             endpoint: string,
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -18,6 +18,8 @@
     readonly unlisted: boolean;
     /** True when the primary has announced its shutdown. */
     readonly draining: boolean;
+    /** Why the primary has to be moved although it is healthy; undefined if it need not be. */
+    readonly misplaced?: "evacuated" | "outside homes" | undefined;
     /** True when the endpoint reports that it isn't primary. */
     readonly demoted: boolean;
     /** Contact of this host. */
@@ -34,7 +36,17 @@
 /** Whether to replace a primary, and why. */
 export type Decision =
     | { readonly replace: false; readonly reason: "healthy" | "suspected" | "isolated" }
-    | { readonly replace: true; readonly reason: "gone" | "draining" | "resigned" | "silent" | "partly unreachable" };
+    | {
+        readonly replace: true;
+        readonly reason:
+            | "gone"
+            | "draining"
+            | "resigned"
+            | "silent"
+            | "partly unreachable"
+            | "evacuated"
+            | "outside homes";
+    };
 
 /** A primary that answers no host for this long is replaced, in milliseconds. Spans several probes. */
 export const silenceTimeoutMs = 500;
@@ -62,9 +74,12 @@
     if (failing.length >= 2 && failing.length >= all.length * partialShare) {
         return { replace: true, reason: "partly unreachable" };
     }
-    if (evidence.draining) {
+    if (evidence.draining && evidence.misplaced !== "evacuated") {
         return { replace: true, reason: "draining" };
     }
+    if (evidence.misplaced !== undefined) {
+        return { replace: true, reason: evidence.misplaced };
+    }
     return { replace: false, reason: failing.length > 0 ? "suspected" : "healthy" };
 }
 
@@ -74,18 +89,22 @@
     /** Last log entry that the replica has received. */
     readonly received: positions.Position;
     readonly draining: boolean;
+    /** Number of the group's routes whose homes include the replica. */
+    readonly servedRoutes?: number;
     /** Round-trip time from this host to the endpoint, in milliseconds. */
     readonly roundTripMs: number;
 }
 
 /**
  * Chooses the replica to promote: the one that has received most of the log, so that the fewest commits are lost.
- * Among equals it prefers one that isn't draining, then the one with the shortest round trip.
+ * Among equals it prefers one that isn't draining, then the one whose region serves most routes, then the one with the
+ * shortest round trip.
  */
 export function chooseCandidate(candidates: readonly Candidate[]): Candidate | undefined {
     return [...candidates].sort((left, right) =>
         positions.compare(right.received, left.received)
         || Number(left.draining) - Number(right.draining)
+        || (right.servedRoutes ?? 0) - (left.servedRoutes ?? 0)
         || left.roundTripMs - right.roundTripMs
     )[0];
 }
--- a/src/core/storeera.ts
+++ b/src/core/storeera.ts
@@ -69,6 +69,11 @@
     return era * numbersPerEra + number;
 }
 
+/** The era that `order` combined with a number. */
+export function eraOf(ordered: number): number {
+    return Math.floor(ordered / numbersPerEra);
+}
+
 /** The number of an era that `order` combined with it. */
 export function numberOf(ordered: number): number {
     return ordered % numbersPerEra;
