--- a/src/platform/documents.test.ts
+++ b/src/platform/documents.test.ts
@@ -64,6 +64,22 @@
         chai.expect(policy.transactionIdleMs).to.equal(3_000);
     });
 
+    it("parses the homes of routes and organisations; none, or an empty list, stand for everywhere", () => {
+        const route = { service: "ledger", kind: "primary", timeout_ms: 800 };
+        const text = (regions: unknown): string =>
+            JSON.stringify({
+                version: 7,
+                routes: [{ ...route, hostname: "a", allowed_regions: regions }, { ...route, hostname: "b" }],
+                tenants: [{ name: "cluj", allowed_regions: regions }, { name: "iasi", allowed_regions: [] }],
+            });
+        const policy = documents.parsePolicy(text(["ro-nord"]))._unsafeUnwrap();
+        chai.expect([...policy.routes.get("a")?.homes ?? []]).to.deep.equal(["ro-nord"]);
+        chai.expect([...policy.organisations.get("cluj")?.homes ?? []]).to.deep.equal(["ro-nord"]);
+        chai.expect([policy.routes.get("b")?.homes, policy.organisations.get("iasi")?.homes])
+            .to.deep.equal([undefined, undefined]);
+        chai.expect(documents.parsePolicy(text("ro-nord")).isErr()).to.equal(true);
+    });
+
     it("rejects a configuration without a version", () => {
         chai.expect(documents.parsePolicy('{"routes":[]}').isErr()).to.equal(true);
     });
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -3,12 +3,17 @@
 import * as z from "zod";
 import * as decode from "../core/decode.js";
 import type * as directory from "../core/directory.js";
+import * as homes from "../core/homes.js";
 import type * as policies from "../core/policy.js";
 
 /** Key of the operators' configuration. */
 export const configurationKey = "op/config";
 /** Prefix of the keys of endpoint entries; the rest of a key is the endpoint's id. */
 export const endpointsPrefix = "servers/";
+/** Prefix of the keys that evacuate a failure domain; the rest of a key is the name of the domain. */
+export const evacuationsPrefix = "op/evacuate/";
+/** Prefix of all keys that the operators write. */
+export const operatorsPrefix = "op/";
 
 const name = z.string().min(1);
 
@@ -23,6 +28,8 @@
     priority: z.number().default(0),
     max_staleness_ms: z.number().min(0).default(0),
     public: z.boolean().default(false),
+    /** Regions in which the route's requests may be handled; none stands for all. */
+    allowed_regions: z.array(name).default([]),
 });
 
 const configurationSchema = z.object({
@@ -35,6 +42,7 @@
         api_keys: z.array(z.string()).default([]),
         rate_per_s: z.number().min(0).default(0),
         burst: z.number().min(0).default(0),
+        allowed_regions: z.array(name).default([]),
     })).default([]),
 });
 
@@ -53,6 +61,7 @@
         latencyTargetMs: route.target_latency_ms,
         priority: route.priority,
         allowsAnonymous: route.public,
+        homes: homes.of(route.allowed_regions),
     };
 }
 
@@ -67,7 +76,12 @@
         ])),
         organisations: new Map(value.tenants.map(tenant => [
             tenant.name,
-            { name: tenant.name, ratePerSecond: tenant.rate_per_s, burst: tenant.burst },
+            {
+                name: tenant.name,
+                ratePerSecond: tenant.rate_per_s,
+                burst: tenant.burst,
+                homes: homes.of(tenant.allowed_regions),
+            },
         ])),
         keys: new Map(value.tenants.flatMap(tenant => tenant.api_keys.map(key => [key, tenant.name] as const))),
         transactionIdleMs: value.limits.tx_idle_ms,
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -153,6 +153,9 @@
             const result = await call("watch", watchResponse, { method: "GET", path }, waitMs + options.timeoutMs);
             return result.map(value => ({
                 items: value.events.flatMap(event => ("tombstone" in event ? [] : [decodeItem(event)])),
+                removed: value.events.flatMap(event =>
+                    "tombstone" in event ? [{ key: event.key, revision: event.revision }] : []
+                ),
                 revision: value.current_rev,
             }));
         },
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -130,6 +130,8 @@
     [failure.Code.configurationStale, "BUSY"],
     [failure.Code.draining, "BUSY"],
     [failure.Code.ownerUnreachable, "BUSY"],
+    [failure.Code.evacuated, "BUSY"],
+    [failure.Code.outsideHomes, "BUSY"],
     [failure.Code.transactionLost, "ABORTED"],
     [failure.Code.replicaBehind, "LAGGING"],
     [failure.Code.readOnly, "READONLY"],
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -37,6 +37,12 @@
     readonly revision: number;
 }
 
+/** What changed under a prefix, and the store revision up to which that is known. */
+export interface Changes extends Range {
+    /** Keys that were removed. One that was written again since then is among the items too, with a higher revision. */
+    readonly removed: readonly { readonly key: string; readonly revision: number }[];
+}
+
 /** Transaction that is applied only if all its conditions hold. */
 export interface Change {
     /** Revision that each key must have; 0 means that the key must not exist. */
@@ -55,10 +61,10 @@
     /** Reads all items whose keys have the prefix, page by page. */
     range(prefix: string): Outcome<Range>;
     /**
-     * Waits up to `waitMs` for a change under the prefix. Resolves to the items that were written since, and to the
-     * revision to pass as `after` next time.
+     * Waits up to `waitMs` for a change under the prefix. Resolves to the items that were written or removed since, and to
+     * the revision to pass as `after` next time.
      */
-    watch(prefix: string, after: number, waitMs: number): Outcome<Range>;
+    watch(prefix: string, after: number, waitMs: number): Outcome<Changes>;
     /** Applies a transaction; resolves to its revision. */
     change(change: Change): Outcome<number>;
     /** Creates a lease; resolves to its id and the time to live that the store granted. */
--- a/src/proxy/access.ts
+++ b/src/proxy/access.ts
@@ -1,6 +1,7 @@
 /** Authorisation of callers by the current configuration. */
 import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
+import * as homes from "../core/homes.js";
 import * as policies from "../core/policy.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
@@ -11,10 +12,22 @@
 /** Suggested delay before retrying at a host that is starting; reading the configuration takes about 100 ms. */
 const retryAfterMs = 100;
 
+/**
+ * The organisation as which this host itself may log in to an endpoint in the region: one whose homes include it, or none.
+ * Undefined while no organisation is known.
+ */
+export function hostIdentity(policy: policies.Policy, region: string | undefined): string | undefined {
+    const organisations = [...policy.organisations.values()];
+    const allowed = organisations.find(organisation => homes.allows(organisation.homes, region));
+    return organisations.length === 0 ? undefined : allowed?.name ?? anonymous;
+}
+
 /** The route that a caller may use, and the organisation that it acts for. */
 export interface Authorisation {
     readonly route: policies.Route;
     readonly organisation: string;
+    /** Regions in which its requests may be handled: the homes of the route that are also those of the organisation. */
+    readonly homes: homes.Homes;
 }
 
 /**
@@ -33,7 +46,9 @@
         );
     }
     const organisation = policy.keys.get(key) ?? (route.allowsAnonymous ? anonymous : undefined);
-    return organisation === undefined
-        ? neverthrow.err(failure.create(failure.Code.accessDenied, database, "The key is not valid."))
-        : neverthrow.ok({ route, organisation });
+    if (organisation === undefined) {
+        return neverthrow.err(failure.create(failure.Code.accessDenied, database, "The key is not valid."));
+    }
+    const ownHomes = homes.combine(route.homes, policy.organisations.get(organisation)?.homes);
+    return neverthrow.ok({ route, organisation, homes: ownHomes });
 }
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -5,6 +5,7 @@
 import * as directories from "../core/directory.js";
 import * as leaderships from "../core/leadership.js";
 import * as limiters from "../core/limiter.js";
+import * as policies from "../core/policy.js";
 import * as storeEras from "../core/storeera.js";
 import * as lifecycles from "../daemon/lifecycle.js";
 import type * as caller from "../ports/caller.js";
@@ -15,16 +16,20 @@
 import * as callerDrain from "./callerdrain.js";
 import * as clusterViews from "./clusterview.js";
 import * as coordinators from "./coordinator.js";
+import type * as evacuationViews from "./evacuations.js";
 import * as eventLogs from "./events.js";
 import * as executors from "./executor.js";
-import type * as groups from "./group.js";
+import * as gaugeReader from "./gauges.js";
 import * as logins from "./login.js";
 import * as messages from "./messages.js";
 import * as metricsRegistry from "./metrics.js";
 import * as peerHandlers from "./peerhandlers.js";
 import * as gossip from "./peers.js";
+import * as periodicTasks from "./periodictasks.js";
+import * as placeViews from "./places.js";
 import type * as platforms from "./platform.js";
 import * as probers from "./prober.js";
+import * as readinessStates from "./readinessstate.js";
 import * as replacers from "./replacement.js";
 import * as restorers from "./restoration.js";
 import type * as settingsFile from "./settings.js";
@@ -64,12 +69,6 @@
 const missingGraceMs = 2_500;
 /** Gap between endpoint listings that counts as an outage: two listings lost. */
 const outageGapMs = 2_500;
-const checkIntervalMs = 100;
-const usageReportIntervalMs = 250;
-/** Time after which a host that knows of no other assumes that it is the only one. */
-const singleHostTimeoutMs = 2_000;
-const activityReportIntervalMs = 5_000;
-const peerRefreshIntervalMs = 1_000;
 
 const id = {
     clock: Symbol.for("clock"),
@@ -81,6 +80,7 @@
     limiter: Symbol.for("limiter"),
     peers: Symbol.for("peers"),
     storeSync: Symbol.for("storeSync"),
+    places: Symbol.for("places"),
     clusterView: Symbol.for("clusterView"),
     failoverLock: Symbol.for("failoverLock"),
     prober: Symbol.for("prober"),
@@ -105,8 +105,7 @@
     let callers: callerDrain.CallerListener | undefined;
     let stopping = false;
     let refusesLogins = false;
-    let wasReady = false;
-    let stopTimers: readonly (() => void)[] = [];
+    let stopTasks: (() => void) | undefined;
     let peerServer: grpc.Server | undefined;
     let readiness: { close(): void } | undefined;
     let metricsServer: { close(): void } | undefined;
@@ -155,6 +154,7 @@
             era,
             layout: platform().storeLayout,
             directory: directory(),
+            evacuations: evacuations(),
             clock,
             events: events(),
             random: environment.random,
@@ -169,6 +169,23 @@
             onChange: () => clusterView().configurationChanged(),
         })
     ).inSingletonScope();
+    container.bind(id.places).toDynamicValue(() =>
+        placeViews.createPlaces({
+            evacuateMs: settings.evacuateMs,
+            clock,
+            era,
+            events: events(),
+            random: environment.random,
+            spread: () => peers().pollNow(),
+            onChange() {
+                clusterView().reconcileEndpoints();
+                container.get<probers.Prober>(id.prober).evict();
+            },
+            policy: () => storeSync().policy(),
+            endpoints: group => directory().inGroup(group),
+            regionOf: domain => settings.failureDomains[domain],
+        })
+    ).inSingletonScope();
     container.bind(id.clusterView).toDynamicValue(() =>
         clusterViews.createClusterView({
             ...settings,
@@ -180,13 +197,16 @@
             leadership: leadership(),
             directory: directory(),
             limiter: limiter(),
+            evacuations: evacuations(),
             dialer: platform().dialer,
+            queryStatus: async endpoint =>
+                (await container.get<probers.Prober>(id.prober).statuses([endpoint])).get(endpoint.id),
             random: environment.random,
             self: () => self,
             peers,
             storeSync,
             coordinator,
-            onChange: reportReadiness,
+            onChange: () => readinessState.report(),
         })
     ).inSingletonScope();
     container.bind(id.failoverLock).toConstantValue(coordinators.createHeldLock(() => storeSync()));
@@ -194,7 +214,8 @@
         probers.createProber({
             clock,
             dialer: platform().dialer,
-            organisation: () => [...storeSync().policy().organisations.keys()][0],
+            organisation: places().hostIdentity,
+            mayContact: places().relocation.mayContact,
         })
     ).inSingletonScope();
     container.bind(id.replacer).toDynamicValue(() =>
@@ -229,7 +250,8 @@
             executor: executors.createExecutor({ clock, events: events() }),
             transactions: transactions.createTransactions({ clock, events: events() }),
             limiter: limiter(),
-            policy: () => storeSync().policy(),
+            // A host that doesn't know the evacuations yet answers like one without configuration.
+            policy: () => (evacuations().known() ? storeSync().policy() : policies.empty),
             group: name => clusterView().group(name),
             checkSuspension: () => clusterView().checkSuspension(),
             refusesLogins: () => refusesLogins,
@@ -245,6 +267,8 @@
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): coordinators.HeldLock => container.get(id.failoverLock);
     const storeSync = (): storeSyncs.StoreSync => container.get(id.storeSync);
+    const places = (): placeViews.Places => container.get(id.places);
+    const evacuations = (): evacuationViews.Evacuations => places().evacuations;
     const coordinator = (): coordinators.FailoverCoordinator => container.get(id.coordinator);
     const clusterView = (): clusterViews.ClusterView => container.get(id.clusterView);
     /** Options that the failover coordinator and the replacer have in common. */
@@ -256,54 +280,42 @@
         storeSync: storeSync(),
         peers: peers(),
         prober: container.get<probers.Prober>(id.prober),
+        relocation: places().relocation,
         fencingToken: () => failoverLock().fencingToken(),
         endpoints: (group: string) => directory().inGroup(group),
     });
 
-    function gauges(): metricsRegistry.Gauges {
-        const merge = (read: (group: groups.Group) => Readonly<Record<string, number>>): Record<string, number> =>
-            Object.assign({}, ...clusterView().groups().map(read)) as Record<string, number>;
-        return {
-            loadByEndpoint: merge(group => group.loadByEndpoint()),
-            connectionsByEndpoint: merge(group => group.connectionsByEndpoint()),
-            callers: callers?.count() ?? 0,
-            configurationVersion: storeSync().policy().version,
-            storeEra: era.current(),
-            proofAgeMs: leadership().proofAgeMs(clock.now()),
-            holdsFailoverLock: failoverLock().fencingToken() !== undefined,
-        };
-    }
-
-    function applyUsageReports(startMs: number): void {
-        if (peers().all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
-            limiter().applyReports(peers().usageReports(), clock.now());
-        }
-    }
-
-    function ready(): boolean {
-        return !stopping && storeSync().policy().version > 0 && directory().all().length > 0
-            && leadership().all().length > 0;
-    }
+    const components = () => ({
+        clock,
+        era,
+        events: events(),
+        clusterView: clusterView(),
+        storeSync: storeSync(),
+        peers: peers(),
+        directory: directory(),
+        leadership: leadership(),
+        limiter: limiter(),
+        failoverLock: failoverLock(),
+        evacuations: evacuations(),
+    });
+    const gauges = () => gaugeReader.read({ ...components(), callers: callers?.count() ?? 0 });
 
-    function reportReadiness(): void {
-        const isReady = ready();
-        if (isReady !== wasReady) {
-            wasReady = isReady;
-            events().emit("readinessChanged", { ready: isReady, stopping });
-        }
-    }
+    const readinessState = readinessStates.createReadiness({
+        events,
+        stopping: () => stopping,
+        conditions: () => ({
+            configuration: storeSync().policy().version > 0,
+            endpoints: directory().all().length > 0,
+            primaries: leadership().all().length > 0,
+            evacuations: evacuations().known(),
+        }),
+    });
 
     lifecycle.add({
         name: "peers",
         async start() {
-            const parts = {
-                clock,
-                peers: peers(),
-                clusterView: clusterView(),
-                storeSync: storeSync(),
-                directory: directory(),
-            };
-            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, peerHandlers.createHandlers(parts));
+            const handlers = peerHandlers.createHandlers(components());
+            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers);
             peers().start();
         },
         async close() {
@@ -327,30 +339,14 @@
     lifecycle.add({
         name: "periodic tasks",
         start() {
-            const startMs = clock.now();
-            stopTimers = [
-                clock.every(checkIntervalMs, () => {
-                    clusterView().checkSuspension();
-                    clusterView().evaluateProof();
-                    reportReadiness();
-                }),
-                clock.every(usageReportIntervalMs, () => applyUsageReports(startMs)),
-                clock.every(peerRefreshIntervalMs, () => clusterView().refreshFromPeer()),
-                clock.every(activityReportIntervalMs, () => {
-                    events().reportOmitted();
-                    const report = activity.flush(storeSync().policy(), clock.now());
-                    if (report !== undefined) {
-                        events().emit("measured", { ...report });
-                    }
-                }),
-            ];
+            stopTasks = periodicTasks.start({ ...components(), activity, readiness: readinessState });
         },
-        close: () => stopTimers.forEach(stop => stop()),
+        close: () => stopTasks?.(),
     });
     lifecycle.add({
         name: "callers",
         async start() {
-            readiness = await platform().listenReadiness(ready);
+            readiness = await platform().listenReadiness(readinessState.ready);
             callers = await platform().listenCallers(container.get<caller.Login>(id.login));
             metricsServer = await metricsRegistry.listen(settings.callers.host, settings.metricsPort, metrics());
         },
@@ -362,7 +358,7 @@
                 onStart() {
                     stopping = true;
                     self = { ...self, leaving: true };
-                    reportReadiness();
+                    readinessState.report();
                 },
                 refuseLogins() {
                     refusesLogins = true;
@@ -377,7 +373,7 @@
     });
 
     return {
-        ready,
+        ready: readinessState.ready,
         get events() {
             return events();
         },
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -13,9 +13,11 @@
 import type * as store from "../ports/store.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import type * as coordinators from "./coordinator.js";
+import type * as evacuations from "./evacuations.js";
 import type * as eventLogs from "./events.js";
 import * as fleets from "./fleet.js";
 import * as databaseGroups from "./group.js";
+import * as homesChecks from "./homescheck.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 import type * as registry from "./registry.js";
@@ -34,7 +36,10 @@
     readonly leadership: leaderships.Leadership;
     readonly directory: directories.Directory;
     readonly limiter: limiters.Limiter;
+    readonly evacuations: evacuations.Evacuations;
     readonly dialer: connections.Dialer;
+    /** Queries the status of an endpoint, outside of any request; undefined without one. */
+    queryStatus(endpoint: directories.Endpoint): Promise<connections.Status | undefined>;
     /** A random number in [0, 1). */
     random(): number;
     self(): messages.Member;
@@ -57,6 +62,8 @@
     groups(): readonly databaseGroups.Group[];
     /** Applies a changed policy or a changed endpoint listing to the limits and the groups. */
     configurationChanged(): void;
+    /** Creates and closes the connection pools that changed endpoints or evacuations call for. */
+    reconcileEndpoints(): void;
     /** Applies the record of a group's primary; one that is not newer than the known record changes nothing. */
     applyRecord(record: leaderships.Record): void;
     /** Applies a record. If it replaces a primary, resolves once no work on the old primary can be acknowledged. */
@@ -116,6 +123,7 @@
     let lastClockJumpMs = -Infinity;
     let wasTrusted = false;
     let fetchingEndpoints = false;
+    const checkHomes = homesChecks.createHomesCheck(events, options.regionByFailureDomain);
     const configurationFetcher = configurationTransfer.createFetcher({
         clock,
         events,
@@ -161,6 +169,8 @@
             share: endpoint => shareOf(name, endpoint),
             otherHostsLoad: endpoint => peers().endpointUsage(endpoint)[0],
             endpoints: () => directory.inGroup(name),
+            evacuations: options.evacuations,
+            queryStatus: options.queryStatus,
         });
         groups.set(name, created);
         created.reconcileEndpoints();
@@ -182,6 +192,7 @@
     function configurationChanged(): void {
         const policy = storeSync().policy();
         limiter.setLimits(policy.organisations);
+        checkHomes(policy);
         policy.groups.forEach((_, name) => group(name));
         groups.forEach((entry, name) => {
             if (policy.groups.has(name) || directory.inGroup(name).length > 0) {
@@ -197,6 +208,7 @@
             events.emit("tenureChanged", { ...record, replaced: previous });
             const affectedGroup = groups.get(record.group);
             affectedGroup?.notifyWaiters();
+            affectedGroup?.reconcileEndpoints();
             if (record.changing && record.primary !== "") {
                 // Work that still runs then can no longer be acknowledged, so its connections are closed.
                 clock.after(options.handoverGraceMs, () => affectedGroup?.pool(record.primary)?.closeInUse());
@@ -285,6 +297,7 @@
             }),
             organisationUsage: limiter.usage(nowMs),
             endpointUsage: endpointUsage(),
+            evacuations: options.evacuations.announced(),
         };
     }
 
@@ -302,6 +315,7 @@
         if (digest.storeEra !== undefined) {
             options.era.observe(digest.storeEra);
         }
+        options.evacuations.offer(digest.evacuations);
         digest.primaryRecords.forEach(applyRecord);
         if (requestedAtMs !== undefined && noClockJumpSince(requestedAtMs)) {
             digest.positionSamples.forEach(sample =>
@@ -357,6 +371,7 @@
         evaluateProof,
         storeRestored,
         groups: () => [...groups.values()],
+        reconcileEndpoints: () => groups.forEach(entry => entry.reconcileEndpoints()),
         newestPeerListing() {
             const listings = peers().live().flatMap(peer => {
                 const listing = peer.digest?.endpointListing;
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -15,6 +15,7 @@
 import type * as probers from "./prober.js";
 import * as registration from "./registration.js";
 import * as registry from "./registry.js";
+import type * as relocations from "./relocation.js";
 import type * as replacement from "./replacement.js";
 import type * as restoration from "./restoration.js";
 import type * as storeSyncs from "./storesync.js";
@@ -32,6 +33,7 @@
     readonly replacer: replacement.Replacer;
     readonly restorer: restoration.Restorer;
     readonly lock: HeldLock;
+    readonly relocation: relocations.Relocation;
     groups(): readonly groups.Group[];
     endpoints(group: string): readonly directory.Endpoint[];
 }
@@ -132,7 +134,7 @@
     async function probe(group: groups.Group, record: leadership.Record): Promise<void> {
         const state = stateOf(group.name);
         const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
-        if (endpoint === undefined || state.probing) {
+        if (endpoint === undefined || state.probing || !options.relocation.mayContact(endpoint)) {
             return;
         }
         state.probing = true;
@@ -187,6 +189,7 @@
         const decision = promotion.evaluate({
             unlisted: endpoint === undefined,
             draining: endpoint?.draining ?? false,
+            misplaced: options.relocation.reasonToMove(group.name, record.primary),
             demoted: stateOf(group.name).demoted,
             own,
             others,
@@ -225,6 +228,9 @@
             void attempt(group, () => replacer.createRecord(group));
             return;
         }
+        if (!options.relocation.hasSuccessor(group.name)) {
+            return;
+        }
         if (record.changing) {
             void attempt(group, () => replacer.replace(group, "unfinished"));
             return;
--- a/src/proxy/digestcodec.test.ts
+++ b/src/proxy/digestcodec.test.ts
@@ -44,6 +44,7 @@
     organisationUsage,
     endpointUsage,
     knownMembers: fc.constant([]),
+    evacuations: fc.option(fc.record({ revision: fc.nat(), failureDomains: fc.array(name) }), { nil: undefined }),
     cellSummaries: fc.array(
         fc.record({
             cell: name,
--- a/src/proxy/digestcodec.ts
+++ b/src/proxy/digestcodec.ts
@@ -117,6 +117,7 @@
                 organisations: organisations.all(),
                 endpoints: endpoints.all(),
                 groups: groups.all(),
+                ...(digest.evacuations === undefined ? {} : { evacuations: digest.evacuations }),
             };
             const nextHeaderText = JSON.stringify(header);
             if (nextHeaderText !== headerText) {
@@ -192,6 +193,7 @@
         storeEra: header.era < 0 ? undefined : header.era,
         primaryRecords: header.tenures,
         knownMembers: header.known,
+        evacuations: header.evacuations,
         proofAgeMs: decodeAge(proofAgeMs),
         storeResponseAgeMs: decodeAge(storeResponseAgeMs),
         endpointListing: listing === null ? undefined : { hash: listing[0], ageMs: listing[1] },
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -37,6 +37,12 @@
     endpointRegained: { ...stateChange, message: "An endpoint responds again." },
     endpointsChanged: { ...stateChange, message: "The list of endpoints changed." },
     entryRejected: { ...problem, message: "An entry in the store can't be parsed and is ignored." },
+    evacuationsChanged: { ...stateChange, message: "The set of evacuated failure domains changed." },
+    evacuationPhase: { ...stateChange, message: "The evacuation of a failure domain entered another phase." },
+    homesUnknown: {
+        ...problem,
+        message: "The configuration allows requests only in regions without endpoints or hosts.",
+    },
     policyTaken: { ...stateChange, message: "New configuration applied." },
     policyRejected: { ...problem, message: "New configuration rejected; the previous one stays in force." },
     keyWithdrawn: { ...stateChange, message: "A session's API key is no longer valid." },
--- a/src/proxy/executor.ts
+++ b/src/proxy/executor.ts
@@ -3,6 +3,7 @@
  * is, sends a slow read to a second endpoint as well.
  */
 import * as neverthrow from "neverthrow";
+import * as eligibility from "../core/eligibility.js";
 import * as failure from "../core/failure.js";
 import * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -171,13 +172,19 @@
                 const selected = await selection.selectEndpoint(statement.mode, context, tried);
                 if (selected.isErr()) {
                     // No endpoint is left to try; after a pause, those already tried are eligible again.
-                    if (tried.size > 0 && statements.canRetry(context, clock)) {
+                    const isFinal = eligibility.isFinal(selected.error);
+                    if (!isFinal && tried.size > 0 && statements.canRetry(context, clock)) {
                         tried.clear();
                         await clock.sleep(statements.retryPauseMs);
                         continue;
                     }
                     return neverthrow.err(
-                        statements.reportFailure(lastFailure ?? selected.error, statement, context, options),
+                        statements.reportFailure(
+                            isFinal ? selected.error : lastFailure ?? selected.error,
+                            statement,
+                            context,
+                            options,
+                        ),
                     );
                 }
                 const { endpoint, minPosition, sampleAgeMs, rejected } = selected.value;
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -2,7 +2,10 @@
 import * as neverthrow from "neverthrow";
 import type * as shares from "../core/connectionshares.js";
 import type * as directory from "../core/directory.js";
+import * as distance from "../core/distance.js";
+import * as decisions from "../core/eligibility.js";
 import * as failure from "../core/failure.js";
+import type * as homes from "../core/homes.js";
 import type * as leadership from "../core/leadership.js";
 import * as placement from "../core/placement.js";
 import type * as policies from "../core/policy.js";
@@ -11,9 +14,12 @@
 import * as samples from "../core/samples.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
+import * as eligibilities from "./eligibility.js";
 import * as endpoints from "./endpoint.js";
+import type * as evacuations from "./evacuations.js";
 import type * as events from "./events.js";
 import type * as pools from "./pool.js";
+import * as sampleQueries from "./samplequery.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
@@ -34,6 +40,9 @@
     /** Number of statements that the other hosts run at an endpoint or queue for it. */
     otherHostsLoad(endpoint: string): number;
     endpoints(): readonly directory.Endpoint[];
+    readonly evacuations: evacuations.Evacuations;
+    /** Queries the status of an endpoint; undefined without one. */
+    queryStatus(endpoint: directory.Endpoint): Promise<connections.Status | undefined>;
 }
 
 /** A commit acknowledged to a session. */
@@ -51,6 +60,8 @@
     /** The session's newest commit. */
     readonly lastCommit: Commit | undefined;
     readonly organisation: string;
+    /** Regions in which the statement may run. */
+    readonly homes: homes.Homes;
     /** Endpoints at which the statement was already attempted. */
     readonly triedEndpoints: ReadonlySet<string>;
 }
@@ -77,6 +88,8 @@
     /** Chooses the endpoint for a statement; fails when no primary is known or no endpoint can serve the read. */
     place(request: PlacementRequest): Result<Placement>;
     pool(endpoint: string): pools.Pool | undefined;
+    /** False once the rest of the endpoint's transactions has to be rolled back, because its failure domain is evacuated. */
+    mayContinue(endpoint: string): boolean;
     /** Updates the statistics of an endpoint with a reply, and adds a sample if the endpoint is the primary. */
     recordReply(
         endpoint: string,
@@ -105,6 +118,13 @@
     /** Adds a sample taken by another host or by a probe, requested at the given time. */
     addSample(position: positions.Position, requestedAtMs: number): void;
     newestSample(): samples.Sample | undefined;
+    /**
+     * True if a replica could serve the read if only a sample of the primary were known. Without one only the primary can, and
+     * it may be outside the homes of the request; its status may be queried all the same.
+     */
+    needsSample(request: PlacementRequest): boolean;
+    /** Queries the primary for a sample; all callers at the same time share one query. */
+    querySample(): Promise<void>;
     /** When this host last reached the primary, and since when it has failed to. */
     primaryContact(): promotion.Contact;
     /** Records that an endpoint answered, whatever its answer was. */
@@ -115,7 +135,10 @@
     minStatementMs(endpoint: string): number;
     /** Discards the samples and failures, because a clock jump made their ages unknown. */
     invalidateAges(): void;
-    /** Creates views of newly listed endpoints, and closes the pools of those that are no longer listed. */
+    /**
+     * Creates views of newly listed endpoints, and closes the pools of those that are no longer listed or may take no new
+     * work because their failure domain is evacuated.
+     */
     reconcileEndpoints(): void;
     /** Statements that this host runs or queues, by endpoint. */
     loadByEndpoint(): Readonly<Record<string, number>>;
@@ -128,8 +151,6 @@
 const sampleRetentionMs = 10_000;
 /** Subtracted from the allowed staleness, for the time from the caller's first byte until this host reads it. */
 const arrivalMarginMs = 40;
-/** Estimated round trips within a failure domain, within a region, and to another region. */
-const roundTripByDistanceMs = { domain: 0.5, region: 3, remote: 17 } as const;
 /** Delay suggested to callers before they retry. */
 const retryAfterMs = 150;
 /** Interval at which `waitUntilIdle` checks for operations in progress. */
@@ -139,6 +160,10 @@
 export function createGroup(options: Options): Group {
     const { clock, name, leadership } = options;
     const views = new Map<string, endpoints.EndpointView>();
+    const eligibility = eligibilities.createEligibility({
+        ...options,
+        primary: () => leadership.find(name)?.primary,
+    });
     const recentSamples = samples.createSamples(sampleRetentionMs);
     const waiters = new Set<() => void>();
     const workInProgress = new Map<string, number>();
@@ -162,14 +187,8 @@
         return created;
     }
 
-    function roundTripToDomainMs(failureDomain: string): number {
-        if (failureDomain === options.failureDomain) {
-            return roundTripByDistanceMs.domain;
-        }
-        return options.regionOf(failureDomain) === options.regionOf(options.failureDomain)
-            ? roundTripByDistanceMs.region
-            : roundTripByDistanceMs.remote;
-    }
+    const roundTripToDomainMs = (failureDomain: string): number =>
+        distance.roundTripMs(options.failureDomain, failureDomain, options.regionOf);
 
     function candidate(listed: directory.Endpoint, organisation: string): placement.Candidate {
         const inputs = view(listed).placementInputs(organisation);
@@ -180,6 +199,7 @@
             draining: listed.draining,
             load: inputs.load + options.otherHostsLoad(listed.id),
             concurrency: listed.slots,
+            rationed: eligibility.isRationed(listed),
         };
     }
 
@@ -226,11 +246,19 @@
         return { position: lastCommit.position, ageMs: Math.min(ageMs, clock.now() - lastCommit.committedMs) };
     }
 
-    function placePrimary(): Result<Placement> {
+    function placePrimary(eligible: decisions.Eligibility): Result<Placement> {
         const record = leadership.find(name);
         const listed = options.endpoints().find(endpoint => endpoint.id === record?.primary);
         if (record === undefined || !hasPrimary() || listed === undefined) {
-            return neverthrow.err(noPrimary());
+            return neverthrow.err(
+                eligible.exhausted === undefined
+                    ? noPrimary()
+                    : decisions.refusal(name, eligible.exhausted, "endpoint"),
+            );
+        }
+        const reason = eligible.reasonAgainstPrimary(listed.id);
+        if (reason !== undefined) {
+            return neverthrow.err(decisions.refusal(name, reason, "primary"));
         }
         view(listed);
         return neverthrow.ok({
@@ -243,33 +271,55 @@
         });
     }
 
+    function addSample(position: positions.Position, requestedAtMs: number): void {
+        if (options.noClockJumpSince(requestedAtMs)) {
+            recentSamples.add({ position, requestedAtMs });
+        }
+    }
+
     return {
         name,
+        addSample,
+        querySample: sampleQueries.createSampleQuery({
+            ...options,
+            primary: () => options.endpoints().find(endpoint => endpoint.id === leadership.find(name)?.primary),
+            isPrimary: endpoint => leadership.isPrimary(name, endpoint, clock.now()),
+            addSample,
+        }),
+        needsSample: request =>
+            !request.needsPrimary && request.consistency.kind !== "primary" && minReadPosition(request) === undefined
+            && eligibility.evaluate(request.homes).eligible.size > 0,
         recordAnswer: endpoint => views.get(endpoint)?.recordAnswer(),
         place(request) {
+            const eligible = eligibility.evaluate(request.homes);
             if (request.needsPrimary || request.consistency.kind === "primary") {
-                return placePrimary();
+                return placePrimary(eligible);
             }
             const required = minReadPosition(request);
-            if (required === undefined) {
-                return placePrimary();
+            // Without an eligible endpoint, only a primary that is about to be replaced may still serve the read.
+            if (required === undefined || eligible.exhausted !== undefined) {
+                return placePrimary(eligible);
             }
-            const candidates = options.endpoints().map(endpoint => candidate(endpoint, request.organisation));
+            const candidates = options.endpoints()
+                .filter(endpoint => eligible.eligible.has(endpoint.id))
+                .map(endpoint => candidate(endpoint, request.organisation));
             const choice = placement.choose(candidates, { floor: required, excluded: request.triedEndpoints });
             if (choice.endpoint === undefined) {
                 const message = `No endpoint of ${name} can serve the read.`;
                 return neverthrow.err(failure.create(failure.Code.replicaBehind, name, message, retryAfterMs));
             }
+            eligibility.countChosen(choice.endpoint);
             return neverthrow.ok({
                 endpoint: choice.endpoint,
                 primary: leadership.find(name)?.primary === choice.endpoint,
                 minPosition: required.position,
                 sampleAgeMs: required.ageMs,
                 expectedMs: choice.expectedMs,
-                rejected: choice.rejected,
+                rejected: [...choice.rejected, ...eligible.rejected],
             });
         },
         pool: endpoint => views.get(endpoint)?.pool,
+        mayContinue: endpoint => eligibility.mayContinue(endpoint),
         recordReply(endpoint, reply, requestedAtMs, context) {
             views.get(endpoint)?.recordReply(reply, requestedAtMs, context);
             const fromPrimary = leadership.isPrimary(name, endpoint, clock.now());
@@ -312,11 +362,6 @@
                 [...waiters].forEach(finish => finish());
             }
         },
-        addSample(position, requestedAtMs) {
-            if (options.noClockJumpSince(requestedAtMs)) {
-                recentSamples.add({ position, requestedAtMs });
-            }
-        },
         newestSample: () => recentSamples.newest(),
         primaryContact: () =>
             views.get(leadership.find(name)?.primary ?? "")?.contact()
@@ -332,12 +377,17 @@
         reconcileEndpoints() {
             const listed = new Map(options.endpoints().map(endpoint => [endpoint.id, endpoint]));
             for (const [id, entry] of views) {
-                if (!listed.has(id)) {
+                const endpoint = listed.get(id);
+                if (endpoint === undefined || !eligibility.takesWork(endpoint)) {
                     entry.pool.close();
                     views.delete(id);
+                    if (endpoint !== undefined) {
+                        eligibility.retire(entry.pool, endpoint);
+                    }
                 }
             }
-            listed.forEach(endpoint => void view(endpoint));
+            eligibility.closeRetired();
+            options.endpoints().filter(eligibility.takesWork).forEach(view);
         },
         loadByEndpoint: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.load()])),
         connectionsByEndpoint: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.size()])),
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between hosts: the schema of each and the type derived from it. */
 import * as z from "zod";
+import type * as evacuation from "../core/evacuation.js";
 import * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
 import type * as positions from "../core/position.js";
@@ -45,6 +46,8 @@
     readonly knownMembers: readonly Member[];
     /** A summary of the sender's own cell; a delegate adds those of the other cells in digests to its own cell. */
     readonly cellSummaries: readonly CellSummary[];
+    /** Evacuated failure domains; undefined if the host doesn't know them. */
+    readonly evacuations?: evacuation.EvacuationSet;
 }
 
 /** The state of all hosts of a cell together, as seen by one of them. */
@@ -101,6 +104,11 @@
     organisations: z.array(z.string()).readonly(),
     endpoints: z.array(z.string()).readonly(),
     groups: z.array(z.string()).readonly(),
+    /** Evacuated failure domains; absent if the sender doesn't know them. */
+    evacuations: z.object({
+        revision: z.number(),
+        failureDomains: z.array(z.string()).readonly(),
+    }).readonly().optional(),
 }).readonly();
 /** The part of a digest that rarely changes, and the tables of names that an encoded digest refers to by index. */
 export type DigestHeader = z.infer<typeof digestHeader>;
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -18,6 +18,7 @@
     /** Age of the proof that the records of primaries are current; infinite without one. */
     readonly proofAgeMs: number;
     readonly holdsFailoverLock: boolean;
+    readonly evacuatedFailureDomains: readonly string[];
 }
 
 /** Metrics of one host. */
@@ -81,6 +82,8 @@
     const proof = gauge("hyssophatch_record_proof_age_seconds", "Age of the proof of the records.", []);
     const failoverLock = gauge("hyssophatch_promotion_duty", "1 on the host that replaces primaries.", []);
 
+    const evacuated = gauge("hyssophatch_evacuated", "1 for each evacuated failure domain.", ["failure_domain"]);
+
     function gauge(name: string, help: string, labelNames: readonly string[]): prometheus.Gauge {
         return new prometheus.Gauge({ name, help, labelNames: [...labelNames], registers });
     }
@@ -107,6 +110,8 @@
             version.set(gauges.configurationVersion);
             storeEra.set(gauges.storeEra ?? 0);
             proof.set(Math.min(gauges.proofAgeMs, Number.MAX_SAFE_INTEGER) / 1_000);
+            evacuated.reset();
+            gauges.evacuatedFailureDomains.forEach(domain => evacuated.set({ failure_domain: domain }, 1));
             failoverLock.set(gauges.holdsFailoverLock ? 1 : 0);
             return registry.metrics();
         },
--- a/src/proxy/prober.test.ts
+++ b/src/proxy/prober.test.ts
@@ -13,7 +13,12 @@
 
     it("reports an endpoint at its connection limit as busy, and a crashed one as unreachable", async () => {
         const endpoint = await endpoints.start({ id: "i-1", group: "g", maxConnections: 0, workMs: 1, lagMs: 1 });
-        const prober = probers.createProber({ clock, dialer: platform.createDialer(), organisation: () => "cluj" });
+        const prober = probers.createProber({
+            clock,
+            dialer: platform.createDialer(),
+            organisation: () => "cluj",
+            mayContact: () => true,
+        });
         const listed = {
             id: "i-1",
             group: "g",
--- a/src/proxy/prober.ts
+++ b/src/proxy/prober.ts
@@ -7,8 +7,10 @@
 export interface Options {
     readonly clock: runtime.HostClock;
     readonly dialer: connections.Dialer;
-    /** Organisation as which the prober logs in to endpoints; undefined while none is known. */
-    organisation(): string | undefined;
+    /** Organisation as which the prober logs in to an endpoint; undefined while none is known. */
+    organisation(endpoint: directory.Endpoint): string | undefined;
+    /** False for an endpoint that may be sent nothing, because its failure domain is evacuated. */
+    mayContact(endpoint: directory.Endpoint): boolean;
 }
 
 /** Sends control commands to endpoints. */
@@ -20,12 +22,14 @@
     ): Promise<connections.Status | "busy" | undefined>;
     /** Status of each endpoint that replies in time, by id. */
     statuses(endpoints: readonly directory.Endpoint[]): Promise<ReadonlyMap<string, connections.Status>>;
+    /** Closes the connections to endpoints that may be sent nothing. */
+    evict(): void;
     /** Closes the connections; the next command opens them again. */
     close(): void;
 }
 
 interface ProbeConnection {
-    readonly address: string;
+    readonly endpoint: directory.Endpoint;
     readonly connection: connections.Connection;
 }
 
@@ -44,10 +48,10 @@
 
     async function connect(endpoint: directory.Endpoint): Promise<connections.Connection | "busy" | undefined> {
         const known = probeConnections.get(endpoint.id);
-        if (known !== undefined && known.address === endpoint.address && known.connection.isOpen()) {
+        if (known !== undefined && known.endpoint.address === endpoint.address && known.connection.isOpen()) {
             return known.connection;
         }
-        const organisation = options.organisation();
+        const organisation = options.organisation(endpoint);
         if (organisation === undefined) {
             return undefined;
         }
@@ -57,13 +61,17 @@
             // An endpoint that refuses the connection because it is at its limit is up.
             return dialed.error === "tooMany" || dialed.error === "busy" ? "busy" : undefined;
         }
+        if (!options.mayContact(endpoint)) {
+            dialed.value.close();
+            return undefined;
+        }
         // Another command may have connected to the endpoint meanwhile; its connection is used then.
         const concurrent = probeConnections.get(endpoint.id);
         if (concurrent !== undefined && concurrent.connection.isOpen()) {
             dialed.value.close();
             return concurrent.connection;
         }
-        probeConnections.set(endpoint.id, { address: endpoint.address, connection: dialed.value });
+        probeConnections.set(endpoint.id, { endpoint, connection: dialed.value });
         return dialed.value;
     }
 
@@ -71,6 +79,9 @@
         endpoint: directory.Endpoint,
         request: connections.ControlCommand,
     ): Promise<connections.Status | "busy" | undefined> {
+        if (!options.mayContact(endpoint)) {
+            return undefined;
+        }
         const connection = await connect(endpoint);
         if (connection === undefined || connection === "busy") {
             return connection;
@@ -115,6 +126,14 @@
     return {
         send,
         statuses,
+        evict() {
+            for (const [id, { endpoint, connection }] of probeConnections) {
+                if (!options.mayContact(endpoint)) {
+                    connection.close();
+                    probeConnections.delete(id);
+                }
+            }
+        },
         close() {
             probeConnections.forEach(entry => entry.connection.close());
             probeConnections.clear();
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -3,6 +3,7 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
+import * as decisions from "../core/relocation.js";
 import * as storeEra from "../core/storeera.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -13,6 +14,7 @@
 import type * as peers from "./peers.js";
 import type * as probers from "./prober.js";
 import * as registry from "./registry.js";
+import type * as relocations from "./relocation.js";
 import type * as storeSyncs from "./storesync.js";
 
 /** Settings of a replacer. */
@@ -28,6 +30,7 @@
     readonly peers: peers.Peers;
     readonly prober: probers.Prober;
     readonly leadership: leadership.Leadership;
+    readonly relocation: relocations.Relocation;
     /** Maximum age of the proof on which other hosts still rely, in milliseconds. */
     readonly maxProofAgeMs: number;
     /** Fencing token of the failover lock; undefined unless this host holds it. */
@@ -190,6 +193,21 @@
         return undefined;
     }
 
+    /**
+     * True if a planned replacement can succeed: a successor answers and has received nearly all of the log. Otherwise the
+     * fence would only interrupt the writes.
+     */
+    async function canBegin(group: groups.Group, primary: string, reason: string): Promise<boolean> {
+        const endpoints = options.endpoints(group.name);
+        const successors = options.relocation.successors(group.name, primary, reason);
+        const statusById = await statuses(endpoints.filter(({ id }) => id === primary || successors.has(id)));
+        const isUrgent = options.relocation.isUrgent(endpoints.find(({ id }) => id === primary));
+        const end = statusById.get(primary)?.received;
+        return [...statusById].some(([id, { received }]) =>
+            id !== primary && successors.has(id) && (isUrgent || decisions.isCaughtUp(received, end))
+        );
+    }
+
     async function replace(group: groups.Group, reason: string): Promise<boolean> {
         const stored = storedRecords.get(group.name);
         const token = options.fencingToken();
@@ -197,6 +215,9 @@
             return false;
         }
         const { record: previous } = stored;
+        if (decisions.isPlanned(reason) && !await canBegin(group, previous.primary, reason)) {
+            return false;
+        }
         events.emit("primarySuspected", {
             group: group.name,
             primary: previous.primary,
@@ -219,15 +240,23 @@
             return finish(group.name, alreadyPromoted[0], alreadyPromoted[1].term, token);
         }
         const oldStatus = statusById.get(previous.primary);
-        const noReplica = ![...statusById.keys()].some(id => id !== previous.primary);
+        const successors = options.relocation.successors(group.name, previous.primary, reason);
+        const noReplica = ![...statusById.keys()].some(id => id !== previous.primary && successors.has(id));
         if (noReplica && oldStatus?.primary === true) {
             // No replica answers, so the primary stays.
             return finish(group.name, previous.primary, oldStatus.term, token);
         }
+        if (noReplica && !successors.has(previous.primary)) {
+            return false;
+        }
         const term = Math.max(previous.term, ...[...statusById.values()].map(status => status.term));
         const stepDownResult = noReplica ? undefined : stepDown(oldPrimary, term + 1);
         const finalStatus = unreachable ? undefined : await stepDownResult;
-        const candidate = noReplica ? oldPrimary : await chooseReplica(group, endpoints, previous.primary, finalStatus);
+        const candidate = noReplica ? oldPrimary : await chooseReplica(
+            group,
+            endpoints.filter(({ id }) => id !== previous.primary && successors.has(id)),
+            finalStatus,
+        );
         if (candidate === undefined || !holdsLock(token)) {
             return false;
         }
@@ -240,6 +269,7 @@
         if (newTerm === undefined) {
             return false;
         }
+        options.relocation.countReplacement(group.name);
         events.emit("primaryPromoted", {
             group: group.name,
             primary: candidate.id,
@@ -252,11 +282,9 @@
     /** Chooses the replica to promote, once it has received the old primary's whole log or the time limit is over. */
     async function chooseReplica(
         group: groups.Group,
-        endpoints: readonly directory.Endpoint[],
-        oldPrimary: string,
+        replicas: readonly directory.Endpoint[],
         finalStatus: connections.Status | undefined,
     ): Promise<directory.Endpoint | undefined> {
-        const replicas = endpoints.filter(endpoint => endpoint.id !== oldPrimary);
         const deadlineMs = clock.now() + (finalStatus === undefined ? 0 : catchUpTimeoutMs);
         for (;;) {
             const statusById = await statuses(replicas);
@@ -266,6 +294,7 @@
                     endpoint: endpoint.id,
                     received: status.received,
                     draining: endpoint.draining,
+                    servedRoutes: options.relocation.servedRoutes(endpoint),
                     roundTripMs: group.roundTripMs(endpoint.id),
                 }];
             });
--- a/src/proxy/restored.test.ts
+++ b/src/proxy/restored.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
+import type * as simulatedEndpoints from "../../standins/simulatedendpoints.js";
 import * as simulatedFleets from "../../standins/simulatedfleet.js";
 import * as storeEra from "../core/storeera.js";
 import * as registry from "./registry.js";
@@ -31,7 +32,7 @@
 }
 
 /** Checks that tokens only rise, and that no two holders use the same one. */
-function checkTokens(promotions: readonly simulatedFleets.Promotion[]): void {
+function checkTokens(promotions: readonly simulatedEndpoints.Promotion[]): void {
     promotions.forEach(({ token, holder }, index) => {
         const previous = promotions[index - 1];
         if (previous !== undefined) {
@@ -190,7 +191,7 @@
     it("gives no proof before the records are restored, not even to a host that missed a promotion", async () => {
         await fleet.clock.advance(5_000);
         const copy = fleet.store.copy();
-        const old = fleet.endpoints[0] as simulatedFleets.Endpoint;
+        const old = fleet.endpoints[0] as simulatedEndpoints.Endpoint;
         const [holder = 0] = fleet.events.find(([, name]) => name === "dutyTaken") ?? [];
         const apart = (holder + 1) % 4;
         fleet.cutFromStore.add(apart);
@@ -223,7 +224,7 @@
     it("learns of a promotion that nobody remembers from the endpoints, before anybody relies on the record", async () => {
         await fleet.clock.advance(5_000);
         const copy = fleet.store.copy();
-        const old = fleet.endpoints[0] as simulatedFleets.Endpoint;
+        const old = fleet.endpoints[0] as simulatedEndpoints.Endpoint;
         [0, 1, 2, 3].forEach(host => old.cutFrom.add(host));
         await waitUntil(fleet, () => fleet.endpoints.some(endpoint => endpoint.primary && endpoint !== old), 6_000);
         [0, 1, 2, 3].forEach(host => fleet.kill(host));
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -17,16 +17,21 @@
     context: statements.Context,
     triedEndpoints: ReadonlySet<string>,
 ): Promise<Result<groups.Placement>> {
-    const { group, route, lastCommit, organisation, arrivedMs } = context;
+    const { group, route, lastCommit, organisation, homes, arrivedMs } = context;
     const request = {
         consistency: route.consistency,
         needsPrimary: mode === "write",
         arrivedMs,
         lastCommit,
         organisation,
+        homes,
         triedEndpoints,
     };
     const placement = group.place(request);
+    if (placement.isErr() && placement.error.code === failure.Code.outsideHomes && group.needsSample(request)) {
+        await group.querySample();
+        return group.needsSample(request) ? neverthrow.err(noSample(group.name)) : group.place(request);
+    }
     if (placement.isOk() || placement.error.code !== failure.Code.noPrimary) {
         return placement;
     }
@@ -34,6 +39,11 @@
     return group.place(request);
 }
 
+function noSample(group: string): failure.Failure {
+    const message = `The primary of ${group} reports no position, which a read by replicas alone depends on.`;
+    return failure.create(failure.Code.replicaBehind, group, message, statements.retryAfterMs);
+}
+
 /** Acquires a connection to the selected endpoint; waits for a free one if necessary. */
 export async function acquireConnection(
     placement: groups.Placement,
@@ -41,7 +51,7 @@
 ): Promise<Result<pools.PooledConnection>> {
     const pool = context.group.pool(placement.endpoint);
     if (pool === undefined) {
-        const message = `Endpoint ${placement.endpoint} is no longer listed.`;
+        const message = `Endpoint ${placement.endpoint} is no longer listed, or its failure domain is evacuated.`;
         return neverthrow.err(
             failure.create(failure.Code.endpointUnreachable, placement.endpoint, message, statements.retryAfterMs),
         );
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -1,16 +1,17 @@
 /** One caller's session: its session variables, prepared statements and transaction. */
 import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
+import type * as homes from "../core/homes.js";
 import * as limiters from "../core/limiter.js";
 import type * as policies from "../core/policy.js";
 import type * as positions from "../core/position.js";
 import type * as caller from "../ports/caller.js";
-import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import * as access from "./access.js";
 import type * as events from "./events.js";
 import type * as executors from "./executor.js";
 import type * as groups from "./group.js";
+import * as responses from "./responses.js";
 import type * as statements from "./statement.js";
 import type * as transactions from "./transactions.js";
 
@@ -52,6 +53,8 @@
     readonly readOnly: boolean;
     readonly arrivedMs: number;
     readonly route: policies.Route;
+    /** Regions in which the transaction may run, as of its BEGIN. */
+    readonly homes: homes.Homes;
     transaction: transactions.Transaction | undefined;
     failed: boolean;
     cancelIdleTimeout: (() => void) | undefined;
@@ -91,14 +94,14 @@
 
     function createContext(
         authorisation: access.Authorisation,
-        route: policies.Route,
-        arrivedMs: number,
+        { route, homes, arrivedMs }: Pick<TransactionBlock, "arrivedMs" | "homes" | "route">,
         nowMs: number,
     ): statements.Context {
         return {
             group: options.group(route.group),
             route,
             organisation: authorisation.organisation,
+            homes,
             variables,
             lastCommit: lastCommit?.group === route.group ? lastCommit : undefined,
             arrivedMs,
@@ -185,7 +188,7 @@
         }
         const { reply, primary } = result.value;
         options.metrics.served(database, authorisation.organisation, primary, mode, elapsedMs);
-        return respond(neverthrow.ok({ rows: reply.rows, signature: signature(reply) }), reply.position);
+        return respond(neverthrow.ok({ rows: reply.rows, signature: responses.signature(reply) }), reply.position);
     }
 
     async function runOutsideTransaction(
@@ -197,7 +200,10 @@
         if (limitFailure !== undefined) {
             return refuse(limitFailure);
         }
-        const result = await executor.run(statement, createContext(authorisation, authorisation.route, nowMs, nowMs));
+        const result = await executor.run(
+            statement,
+            createContext(authorisation, { ...authorisation, arrivedMs: nowMs }, nowMs),
+        );
         recordCommit(result, authorisation.route, statement.mode === "write");
         return finishRequest(result, authorisation, statement.mode, nowMs);
     }
@@ -208,7 +214,7 @@
         authorisation: access.Authorisation,
         nowMs: number,
     ): Promise<caller.Response> {
-        const context = createContext(authorisation, current.route, current.arrivedMs, nowMs);
+        const context = createContext(authorisation, current, nowMs);
         const begun = await ensureBegun(current, context);
         if (begun.isErr()) {
             current.failed = true;
@@ -258,7 +264,7 @@
             return runOutsideTransaction(statement, authorisation, nowMs);
         }
         if (block.failed) {
-            return refuse(invalidRequest("The transaction has failed; only COMMIT or ROLLBACK is accepted."));
+            return refuse(responses.invalidRequest("The transaction has failed; only COMMIT or ROLLBACK is accepted."));
         }
         if (block.readOnly && statement.mode === "write") {
             const cause = failure.create(failure.Code.readOnly, database, "The transaction is read-only.", 0);
@@ -271,13 +277,13 @@
     async function commit(id: string, authorisation: access.Authorisation, nowMs: number): Promise<caller.Response> {
         const current = block;
         if (current === undefined) {
-            return refuse(invalidRequest("No transaction is open."));
+            return refuse(responses.invalidRequest("No transaction is open."));
         }
         if (current.failed) {
             endTransaction();
             return refuse(transactionLost("a statement in it failed"));
         }
-        const context = createContext(authorisation, current.route, current.arrivedMs, nowMs);
+        const context = createContext(authorisation, current, nowMs);
         const begun = await ensureBegun(current, context);
         block = undefined;
         if (begun.isErr()) {
@@ -290,7 +296,7 @@
 
     function begin(id: string, readOnly: boolean, authorisation: access.Authorisation, nowMs: number): caller.Response {
         if (block !== undefined) {
-            return refuse(invalidRequest("A transaction is already open."));
+            return refuse(responses.invalidRequest("A transaction is already open."));
         }
         const limitFailure = checkRateLimit(id, authorisation, nowMs);
         if (limitFailure !== undefined) {
@@ -301,6 +307,7 @@
             readOnly,
             arrivedMs: nowMs,
             route: authorisation.route,
+            homes: authorisation.homes,
             transaction: undefined,
             failed: false,
             cancelIdleTimeout: undefined,
@@ -316,7 +323,7 @@
         nowMs: number,
     ): caller.Response | Promise<caller.Response> {
         if (block?.failed === true && request.kind !== "commit" && request.kind !== "rollback") {
-            return refuse(invalidRequest("The transaction has failed; only COMMIT or ROLLBACK is accepted."));
+            return refuse(responses.invalidRequest("The transaction has failed; only COMMIT or ROLLBACK is accepted."));
         }
         switch (request.kind) {
             case "set":
@@ -326,7 +333,7 @@
                 prepared.set(request.name, { mode: request.mode, template: request.template });
                 return acknowledge();
             case "deallocate":
-                return prepared.delete(request.name) ? acknowledge() : refuse(notPrepared(request.name));
+                return prepared.delete(request.name) ? acknowledge() : refuse(responses.notPrepared(request.name));
             case "begin":
                 return begin(id, request.readOnly, authorisation, nowMs);
             case "commit":
@@ -343,7 +350,7 @@
             case "execute": {
                 const statement = prepared.get(request.name);
                 if (statement === undefined) {
-                    return refuse(notPrepared(request.name));
+                    return refuse(responses.notPrepared(request.name));
                 }
                 const { parameters } = request;
                 const body = { kind: "prepared" as const, template: statement.template, parameters };
@@ -382,15 +389,3 @@
         },
     };
 }
-
-function signature(reply: connections.Reply): string | undefined {
-    return reply.outcome.kind === "done" ? reply.outcome.signature : undefined;
-}
-
-function invalidRequest(message: string): failure.Failure {
-    return failure.create(failure.Code.statementInvalid, "request", message);
-}
-
-function notPrepared(name: string): failure.Failure {
-    return failure.create(failure.Code.statementUnknown, name, `No prepared statement is named ${name}.`);
-}
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -33,6 +33,11 @@
     metricsPort: z.number().int().min(0).max(65_535).default(9_464),
     /** Time from a shutdown request to the end of the process, in milliseconds. */
     graceMs: z.number().min(100).default(6_000),
+    /**
+     * Time from the request to evacuate a failure domain to the moment from which its endpoints may be sent nothing, in
+     * milliseconds; absent on a platform without evacuations.
+     */
+    evacuateMs: z.number().min(0).optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -1,5 +1,6 @@
 /** Statements in execution: their context, connection set-up, and the failures reported to callers. */
 import * as failure from "../core/failure.js";
+import type * as homes from "../core/homes.js";
 import type * as policies from "../core/policy.js";
 import type * as positions from "../core/position.js";
 import type * as caller from "../ports/caller.js";
@@ -25,6 +26,8 @@
     readonly group: groups.Group;
     readonly route: policies.Route;
     readonly organisation: string;
+    /** Regions in which the statement may run. */
+    readonly homes: homes.Homes;
     readonly variables: pools.SessionVariables;
     /** The session's newest commit in this group, which reads have to see. */
     readonly lastCommit: groups.Commit | undefined;
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -1,19 +1,19 @@
 /** Keeps a host in sync with the store: its own key prefix, the operators' configuration and the endpoint listing. */
 import type * as neverthrow from "neverthrow";
-import * as crypto from "node:crypto";
 import * as backoffs from "../core/backoff.js";
 import type * as directory from "../core/directory.js";
 import * as policies from "../core/policy.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
+import type * as evacuations from "./evacuations.js";
 import type * as events from "./events.js";
+import * as listings from "./listing.js";
 import type * as messages from "./messages.js";
 import * as registrations from "./registration.js";
 import * as registry from "./registry.js";
 
 /** Where the platform stores its documents, and how they are parsed; the parsers return an error message on failure. */
-export interface StoreLayout {
-    readonly configurationKey: string;
+export interface StoreLayout extends evacuations.Layout {
     readonly endpointsPrefix: string;
     parsePolicy(text: string): neverthrow.Result<policies.Policy, string>;
     parseEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string>;
@@ -26,6 +26,7 @@
     readonly era: store.Era;
     readonly layout: StoreLayout;
     readonly directory: directory.Directory;
+    readonly evacuations: evacuations.Evacuations;
     readonly clock: runtime.HostClock;
     readonly events: events.EventLog;
     /** A random number in [0, 1). */
@@ -126,16 +127,6 @@
 const configurationIntervalMs = 250;
 /** Number of hosts that poll the store on behalf of all: one, and two that take over if nothing new arrives from it. */
 export const pollerCount = 3;
-/** Length of the hash of an endpoint listing, in base64 characters. */
-const hashLength = 10;
-
-/** Text that is the same for equal listings, in whatever order. */
-function serialise(endpoints: readonly directory.Endpoint[]): string {
-    const rows = endpoints.map(entry =>
-        JSON.stringify([entry.id, entry.address, entry.draining, entry.primary, entry.born])
-    );
-    return rows.sort().join();
-}
 
 /** Creates a store sync with an empty policy and no endpoints; it contacts the store once started. */
 export function createStoreSync(options: Options): StoreSync {
@@ -275,12 +266,12 @@
         if (requestedAtMs <= (listedAtMs ?? -Infinity)) {
             return;
         }
-        const before = serialise(options.directory.all());
+        const before = listings.serialise(options.directory.all());
         options.directory.replace(next, requestedAtMs);
         listedAtMs = requestedAtMs;
         listing = next;
-        listingHash = crypto.createHash("sha1").update(serialise(next)).digest("base64").slice(0, hashLength);
-        if (serialise(options.directory.all()) !== before) {
+        listingHash = listings.hash(next);
+        if (listings.serialise(options.directory.all()) !== before) {
             const endpoints = options.directory.all().map(entry => ({
                 id: entry.id,
                 group: entry.group,
@@ -318,13 +309,13 @@
         if (waits) {
             return true;
         }
-        let revision = await readConfiguration();
+        let revision = await options.evacuations.readAlong(client, options.layout, readConfiguration);
         const era = options.era.current();
         const isCurrent = (): boolean => !closed && options.watchesConfiguration() && options.era.current() === era;
         const rereadAtMs = clock.now() + rereadIntervalMs;
         while (revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
             // A watch may time out although the store is healthy, so its result isn't tracked as availability.
-            const watched = await client.watch(options.layout.configurationKey, revision, watchTimeoutMs);
+            const watched = await client.watch(options.evacuations.watched(options.layout), revision, watchTimeoutMs);
             if (watched.isErr()) {
                 return true;
             }
@@ -332,6 +323,7 @@
             watched.value.items
                 .filter(item => item.key === options.layout.configurationKey)
                 .forEach(item => offerConfiguration(item.value));
+            options.evacuations.applyChanges(watched.value, options.layout);
         }
         return revision !== undefined;
     }
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -1,5 +1,6 @@
 /** Execution of transactions, each on a single connection. */
 import * as neverthrow from "neverthrow";
+import * as eligibility from "../core/eligibility.js";
 import type * as failure from "../core/failure.js";
 import type * as caller from "../ports/caller.js";
 import * as connections from "../ports/connection.js";
@@ -16,6 +17,8 @@
     /** True when the endpoint was selected as the group's primary. */
     readonly primary: boolean;
     readonly connection: pools.PooledConnection;
+    /** False once nothing more may be sent to the endpoint; closing the connection rolls back too. */
+    mayContinue(): boolean;
     /** True once a write succeeded in the transaction. */
     wrote: boolean;
 }
@@ -110,7 +113,8 @@
                 statements.fromRefusal(refusal, endpoint, outcome.kind === "refused" ? outcome.text : ""),
             );
         }
-        const transaction = { endpoint, primary, connection: pooled, wrote: false };
+        const mayContinue = (): boolean => group.mayContinue(endpoint);
+        const transaction = { endpoint, primary, connection: pooled, mayContinue, wrote: false };
         if (minPosition === undefined && !group.isPrimary(endpoint)) {
             pooled.discard();
             return neverthrow.err(statements.primaryUnconfirmed(endpoint));
@@ -128,12 +132,13 @@
                 const selected = await selection.selectEndpoint(mode, context, tried);
                 if (selected.isErr()) {
                     // No endpoint is left to try; after a pause, those already tried are eligible again.
-                    if (tried.size > 0 && statements.canRetry(context, clock)) {
+                    const isFinal = eligibility.isFinal(selected.error);
+                    if (!isFinal && tried.size > 0 && statements.canRetry(context, clock)) {
                         tried.clear();
                         await clock.sleep(statements.retryPauseMs);
                         continue;
                     }
-                    return refuse(lastFailure ?? selected.error, request, context);
+                    return refuse(isFinal ? selected.error : lastFailure ?? selected.error, request, context);
                 }
                 tried.add(selected.value.endpoint);
                 const opened = await openTransaction(id, readOnly, selected.value, context);
@@ -152,6 +157,10 @@
         async run(transaction, statement, context) {
             const { connection: pooled, endpoint } = transaction;
             const { group } = context;
+            if (!group.mayContinue(endpoint)) {
+                pooled.discard();
+                return refuse(statements.rolledBack(endpoint, "its failure domain is evacuated"), statement, context);
+            }
             const setupStartedMs = clock.now();
             if (!await statements.setUpConnection(pooled, context, statement, clock)) {
                 pooled.discard();
@@ -194,6 +203,10 @@
             const { group } = context;
             const request = { id };
             for (;;) {
+                if (!group.mayContinue(endpoint)) {
+                    pooled.discard();
+                    return refuse(statements.rolledBack(endpoint, "its failure domain is evacuated"), request, context);
+                }
                 if (transaction.wrote && !group.isPrimary(endpoint)) {
                     pooled.discard();
                     return refuse(statements.rolledBack(endpoint, "the primary is being replaced"), request, context);
@@ -245,8 +258,8 @@
             }
         },
         rollback(transaction) {
-            const { connection: pooled } = transaction;
-            if (!pooled.connection.isOpen()) {
+            const { connection: pooled, mayContinue } = transaction;
+            if (!pooled.connection.isOpen() || !mayContinue()) {
                 pooled.discard();
                 return;
             }
--- a/standins/groups/endpoint.ts
+++ b/standins/groups/endpoint.ts
@@ -48,6 +48,8 @@
     primary(): boolean;
     term(): number;
     connections(): number;
+    /** Lines received, whatever they ask for: logins, requests, probes and orders. */
+    received(): number;
     /** Transactions open. */
     open(): number;
     /** Replicas receive from this endpoint from now on. */
@@ -93,6 +95,7 @@
     let silent = false;
     let connections = 0;
     let transactions = 0;
+    let received = 0;
 
     const end = (): string => `${log[log.length - 1]?.term ?? term}.${log.length}`;
     const shown = (): string => `${leads ? term : log[applied - 1]?.term ?? term}.${applied}`;
@@ -233,6 +236,7 @@
 
         async function take(line: string): Promise<void> {
             const [word, ...fields] = line.split(" ");
+            received += 1;
             if (silent) {
                 return;
             }
@@ -311,6 +315,7 @@
         primary: () => leads,
         term: () => term,
         connections: () => connections,
+        received: () => received,
         open: () => [...sessions].filter(session => session.transaction !== undefined).length,
         lead(next, others) {
             term = next;
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -29,6 +29,12 @@
     readonly log?: runtime.Log;
     /** True for a store in which the product has not run before. */
     readonly emptyStore?: boolean;
+    /** Failure domains of the three endpoints; two domains by turns unless given. */
+    readonly endpointDomains?: readonly string[];
+    /** Region of each failure domain; a single one unless given. The hosts are in the first two domains by turns. */
+    readonly regions?: Readonly<Record<string, string>>;
+    /** Bound of evacuations; the platform has none unless given. */
+    readonly evacuateMs?: number;
 }
 
 /** A running world. */
@@ -44,6 +50,9 @@
     configure(change: Readonly<Record<string, unknown>>): void;
     /** Lists the endpoints that run, as they would themselves. */
     list(state?: Readonly<Record<string, string>>): void;
+    /** The operators' mark that evacuates a failure domain, and its removal. */
+    evacuate(failureDomain: string): void;
+    takeBack(failureDomain: string): void;
     /** Stops a host at once, as a kill does. */
     kill(host: number): Promise<void>;
     /** Starts a host again that was killed, as a new process at the same addresses. */
@@ -153,13 +162,13 @@
     }
 
     function list(state: Readonly<Record<string, string>> = {}): void {
-        running.filter(endpoint => !crashed.has(endpoint.id)).forEach((endpoint, index) =>
+        running.filter(endpoint => !crashed.has(endpoint.id)).forEach(endpoint =>
             store.put(
                 `servers/${endpoint.id}`,
                 JSON.stringify({
                     service: group,
                     address: endpoint.address,
-                    zone: `zone-${index % 2}`,
+                    zone: endpointDomains[running.indexOf(endpoint)],
                     slots: 4,
                     state: state[endpoint.id] ?? "ready",
                     db_role: endpoint.primary() ? "primary" : "replica",
@@ -170,6 +179,9 @@
         );
     }
 
+    const endpointDomains = options.endpointDomains ?? ["zone-0", "zone-1", "zone-0"];
+    const regions = options.regions ?? { "zone-0": "ro-nord", "zone-1": "ro-nord" };
+    const hostDomain = (number: number): string => Object.keys(regions)[number % 2] ?? "";
     list();
     const hosts: assembly.Host[] = [];
     const ports: number[] = [];
@@ -183,9 +195,9 @@
         const [callers = 0, readiness = 0, peers = 0] = addresses[number] ?? [];
         const settings = settingsFile.parse({
             id: `host-${number}`,
-            region: "ro-nord",
-            failureDomain: `zone-${number % 2}`,
-            failureDomains: { "zone-0": "ro-nord", "zone-1": "ro-nord" },
+            region: regions[hostDomain(number)],
+            failureDomain: hostDomain(number),
+            failureDomains: regions,
             callers: `127.0.0.1:${callers}`,
             readiness: `127.0.0.1:${readiness}`,
             peers: `127.0.0.1:${peers}`,
@@ -193,6 +205,7 @@
             promotions: store.address,
             metricsPort: 0,
             graceMs: 1_500,
+            ...(options.evacuateMs === undefined ? {} : { evacuateMs: options.evacuateMs }),
         })._unsafeUnwrap();
         const log = options.log ?? adapters.silent;
         ports[number] = callers;
@@ -227,6 +240,8 @@
             document = { ...document, ...change, version: Number(document["version"]) + 3 };
             store.put("op/config", JSON.stringify(document));
         },
+        evacuate: failureDomain => void store.put(`op/evacuate/${failureDomain}`, "{}"),
+        takeBack: failureDomain => store.remove(`op/evacuate/${failureDomain}`),
         async kill(host) {
             stopped.add(host);
             await hosts[host]?.close();
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -11,12 +11,15 @@
 import type * as network from "../src/ports/network.js";
 import * as clusterViews from "../src/proxy/clusterview.js";
 import * as coordinators from "../src/proxy/coordinator.js";
+import * as evacuationViews from "../src/proxy/evacuations.js";
 import type * as eventLogs from "../src/proxy/events.js";
 import * as messages from "../src/proxy/messages.js";
 import * as gossip from "../src/proxy/peers.js";
+import * as relocations from "../src/proxy/relocation.js";
 import * as replacers from "../src/proxy/replacement.js";
 import * as restorers from "../src/proxy/restoration.js";
 import * as storeSyncs from "../src/proxy/storesync.js";
+import * as simulatedEndpoints from "./simulatedendpoints.js";
 import * as simulation from "./simulation.js";
 
 /** Name of the only group. */
@@ -24,30 +27,12 @@
 /** Age at which a proof expires, in milliseconds. */
 export const maxProofAgeMs = 1_500;
 const graceMs = 150;
-const peerDelayMs = 2;
-const promoteMs = 300;
-
-/** An endpoint. */
-export interface Endpoint {
-    readonly id: string;
-    primary: boolean;
-    term: number;
-    alive: boolean;
-    /** Hosts that can't reach it. */
-    readonly cutFrom: Set<number>;
-}
-
-/** A promotion that the platform was asked for. */
-export interface Promotion {
-    readonly endpoint: string;
-    readonly holder: string;
-    readonly token: number;
-}
 
 /** One host, as far as tests look into it. */
 export interface Host {
     readonly leadership: leaderships.Leadership;
     readonly storeSync: storeSyncs.StoreSync;
+    readonly evacuations: evacuationViews.Evacuations;
     readonly era: storeEra.StoreEra;
     /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
     fencingToken(): number | undefined;
@@ -58,9 +43,9 @@
 export interface Fleet {
     readonly clock: simulation.Clock;
     readonly store: simulation.Store;
-    readonly endpoints: readonly Endpoint[];
+    readonly endpoints: readonly simulatedEndpoints.Endpoint[];
     readonly hosts: Host[];
-    readonly promotions: readonly Promotion[];
+    readonly promotions: readonly simulatedEndpoints.Promotion[];
     /** Events of all hosts, in order. */
     readonly events: readonly (readonly [host: number, name: eventLogs.EventName])[];
     /** Hosts that can't reach the store. */
@@ -75,6 +60,15 @@
     close(): void;
 }
 
+/** Region of each failure domain. Endpoint i-1 is in zone-1 and so on where a fleet has evacuations, else all in zone-0. */
+const regions: Readonly<Record<string, string>> = {
+    "zone-0": "region",
+    "zone-1": "region",
+    "zone-2": "region",
+    "zone-3": "region",
+};
+const domainOf = (key: string): string => `zone-${key.slice(-1)}`;
+
 const silent = { kind: "unreachable" as const };
 
 /** Hosts that believe that they hold the failover lock, if there are several. */
@@ -95,17 +89,14 @@
 }
 
 /** Creates a fleet; nothing runs until its clock moves. */
-export function createFleet(hostCount: number, random: () => number): Fleet {
+export function createFleet(
+    hostCount: number,
+    random: () => number,
+    fleetOptions: { readonly evacuateMs?: number } = {},
+): Fleet {
     const clock = simulation.createClock();
     const simulatedStore = simulation.createStore(clock);
-    const endpoints: Endpoint[] = ["i-1", "i-2", "i-3"].map((id, index) => ({
-        id,
-        primary: index === 0,
-        term: 1,
-        alive: true,
-        cutFrom: new Set(),
-    }));
-    const promotions: Promotion[] = [];
+    const { all: endpoints, promotions, send, promote } = simulatedEndpoints.createEndpoints(clock, () => list());
     const events: (readonly [number, eventLogs.EventName])[] = [];
     const [cutFromStore, cutFromPeers, down] = [new Set<number>(), new Set<number>(), new Set<number>()];
     const running: { peers: gossip.Peers; clusterView: clusterViews.ClusterView }[] = [];
@@ -122,6 +113,8 @@
     const storeLayout: storeSyncs.StoreLayout = {
         configurationKey: "op/config",
         endpointsPrefix: "servers/",
+        evacuationsPrefix: "op/evacuate/",
+        operatorsPrefix: "op/",
         parsePolicy: text =>
             neverthrow.ok({
                 ...policies.empty,
@@ -134,7 +127,7 @@
                 id: key.slice("servers/".length),
                 group,
                 address: key,
-                failureDomain: "zone-0",
+                failureDomain: fleetOptions.evacuateMs === undefined ? "zone-0" : domainOf(key),
                 slots: 2,
                 draining: false,
                 primary: (JSON.parse(text) as { readonly primary: boolean }).primary,
@@ -143,48 +136,13 @@
             }),
     };
 
-    async function send(
-        host: number,
-        id: string,
-        request: connections.ControlCommand,
-    ): Promise<connections.Status | undefined> {
-        const endpoint = endpoints.find(candidate => candidate.id === id);
-        await clock.sleep(peerDelayMs);
-        if (endpoint === undefined || !endpoint.alive || endpoint.cutFrom.has(host)) {
-            await clock.sleep(100);
-            return undefined;
-        }
-        if (request.kind === "stepDown" && request.term > endpoint.term) {
-            endpoint.primary = false;
-        }
-        const received = { term: endpoint.term, index: 1 };
-        return { primary: endpoint.primary, term: endpoint.term, received } as connections.Status;
-    }
-
-    async function promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>> {
-        await clock.sleep(peerDelayMs);
-        const endpoint = endpoints.find(candidate => candidate.id === id);
-        if (endpoint === undefined || !endpoint.alive) {
-            return neverthrow.ok(false);
-        }
-        promotions.push({ endpoint: id, holder, token });
-        if (!endpoint.primary || endpoints.some(other => other.term > endpoint.term)) {
-            clock.after(promoteMs, () => {
-                endpoint.term = Math.max(...endpoints.map(other => other.term)) + 1;
-                endpoint.primary = true;
-                list();
-            });
-        }
-        return neverthrow.ok(true);
-    }
-
     function networkOf(from: number): network.Network {
         return {
             openChannel: address => ({
                 async call<Request, Reply>(method: rpc.Method<Request, Reply>, request: Request) {
                     const to = Number(address);
                     const lost = neverthrow.err(failure.create(failure.Code.peerUnreachable, address, "no answer"));
-                    await clock.sleep(peerDelayMs);
+                    await clock.sleep(simulatedEndpoints.delayMs);
                     if (down.has(to)) {
                         return neverthrow.err(failure.create(failure.Code.ownerUnreachable, address, "refused"));
                     }
@@ -200,7 +158,7 @@
                         return lost;
                     }
                     const digest = remote.peers.handleExchange(messages.encodedDigest.parse(request));
-                    await clock.sleep(peerDelayMs);
+                    await clock.sleep(simulatedEndpoints.delayMs);
                     return neverthrow.ok(method.reply.parse(digest));
                 },
                 close: () => undefined,
@@ -247,12 +205,29 @@
             localDigest: () => clusterView.localDigest(),
             onDigest: (digest, requestedAtMs) => clusterView.mergeDigest(digest, requestedAtMs),
         });
+        const evacuations: evacuationViews.Evacuations = evacuationViews.createEvacuations({
+            evacuateMs: fleetOptions.evacuateMs,
+            clock,
+            era,
+            events: eventLog,
+            random,
+            spread: () => peers.pollNow(),
+            onChange: () => clusterView.reconcileEndpoints(),
+        });
+        const relocation = relocations.createRelocation({
+            evacuations,
+            clock,
+            policy: () => storeSync.policy(),
+            endpoints: name => directory.inGroup(name),
+            regionOf: domain => regions[domain],
+        });
         const storeSync: storeSyncs.StoreSync = storeSyncs.createStoreSync({
             self: () => self,
             store: client,
             era,
             layout: storeLayout,
             directory,
+            evacuations,
             clock,
             events: eventLog,
             random,
@@ -267,17 +242,19 @@
             onChange: () => clusterView.configurationChanged(),
         });
         const lock = coordinators.createHeldLock(() => storeSync);
+        const sendIfOpen = async (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
+            relocation.mayContact(endpoint) ? send(host, endpoint.id, request) : undefined;
         const prober = {
-            send: (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
-                send(host, endpoint.id, request),
+            send: sendIfOpen,
             async statuses(listed: readonly directories.Endpoint[]) {
                 const found = await Promise.all(
                     listed.map(async endpoint =>
-                        [endpoint.id, await send(host, endpoint.id, { kind: "status" })] as const
+                        [endpoint.id, await sendIfOpen(endpoint, { kind: "status" })] as const
                     ),
                 );
                 return new Map(found.flatMap(([id, status]) => (status === undefined ? [] : [[id, status] as const])));
             },
+            evict: () => undefined,
             close: () => undefined,
         };
         const common = {
@@ -290,6 +267,7 @@
             prober,
             leadership,
             endpoints: (name: string) => directory.inGroup(name),
+            relocation,
             fencingToken: () => lock.fencingToken(),
         };
         const coordinator: coordinators.FailoverCoordinator = coordinators.createFailoverCoordinator({
@@ -309,7 +287,8 @@
         });
         const clusterView: clusterViews.ClusterView = clusterViews.createClusterView({
             failureDomain: "zone-0",
-            regionByFailureDomain: { "zone-0": "region" },
+            regionByFailureDomain: regions,
+            evacuations,
             clock,
             era,
             handoverGraceMs: graceMs,
@@ -318,6 +297,7 @@
             directory,
             limiter,
             dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
+            queryStatus: endpoint => sendIfOpen(endpoint, { kind: "status" }),
             random,
             self: () => self,
             peers: () => peers,
@@ -329,10 +309,14 @@
         peers.start();
         storeSync.start();
         coordinator.start();
-        const stopEvaluation = clock.every(100, () => clusterView.evaluateProof());
+        const stopEvaluation = clock.every(100, () => {
+            clusterView.evaluateProof();
+            evacuations.check();
+        });
         return {
             leadership,
             storeSync,
+            evacuations,
             era,
             fencingToken: () => lock.fencingToken(),
             close() {
--- a/standins/simulation.ts
+++ b/standins/simulation.ts
@@ -95,6 +95,7 @@
     connect(era: store.Era, isCut: () => boolean): store.Store;
     /** Writes as the operator or an endpoint does. */
     put(key: string, value: string): void;
+    remove(key: string): void;
     get(key: string): string | undefined;
     copy(): Data;
     /** Comes back from a copy in the next era. */
@@ -112,6 +113,7 @@
     let revision = 10;
     let nextLease = 1;
     let era = 1;
+    let removed: { readonly key: string; readonly revision: number }[] = [];
 
     function expireLeases(): void {
         for (const [id, lease] of leases) {
@@ -195,7 +197,11 @@
                         const changed = range(prefix).items.filter(item => item.revision > after);
                         return after > revision
                             ? neverthrow.err({ kind: "missing" })
-                            : neverthrow.ok({ items: changed, revision });
+                            : neverthrow.ok({
+                                items: changed,
+                                removed: removed.filter(row => row.revision > after && row.key.startsWith(prefix)),
+                                revision,
+                            });
                     });
                 },
                 change: requested => call(() => change(requested)),
@@ -214,6 +220,11 @@
             revision += 1;
             write(key, value);
         },
+        remove(key) {
+            revision += 1;
+            items.delete(key);
+            removed.push({ key, revision });
+        },
         get: key => items.get(key)?.value,
         copy: () => ({ items: new Map(items), leases: new Map(leases), revision, nextLease }),
         restore(copy) {
@@ -223,6 +234,7 @@
                 [...copy.leases].map(([id, lease]) => [id, { ...lease, expiresAtMs: clock.now() + lease.ttlMs }]),
             );
             ({ revision, nextLease } = copy);
+            removed = [];
             era += 1;
         },
         era: () => era,
