Read the evacuations only where they are about to be watched, or nothing is known

Ruled out: leaving the range to the first host of a cell at the start; a host without peers must read it itself. Change: a host that isn't going to watch and knows a set reads no range. A watch begins only if this host was to watch before the reading, as changes are applied to what was read. Conclusion: one range a watch, and one at the start of a host.

--- a/src/proxy/evacuations.test.ts
+++ b/src/proxy/evacuations.test.ts
@@ -1,5 +1,9 @@
 import * as chai from "chai";
+import * as neverthrow from "neverthrow";
 import * as simulatedFleets from "../../standins/simulatedfleet.js";
+import * as simulation from "../../standins/simulation.js";
+import type * as store from "../ports/store.js";
+import * as evacuationViews from "./evacuations.js";
 
 const evacuateMs = 5_000;
 
@@ -152,3 +156,65 @@
         chai.expect(phases("zone-2")).to.deep.equal(["open", "open", "open"]);
     });
 });
+
+describe("evacuations of one host, as it reads and watches the store", () => {
+    const layout = { configurationKey: "op/config", evacuationsPrefix: "op/evacuate/", operatorsPrefix: "op/" };
+
+    function setUp(evacuateMs: number | undefined) {
+        const clock = simulation.createClock();
+        const responses: neverthrow.Result<store.Range, store.StoreError>[] = [];
+        const ranges: string[] = [];
+        const client = {
+            range: async (prefix: string) => {
+                ranges.push(prefix);
+                return responses.shift() ?? neverthrow.err({ kind: "refused", message: "503" } as const);
+            },
+        } as unknown as store.Store;
+        const evacuations = evacuationViews.createEvacuations({
+            evacuateMs,
+            clock,
+            era: { current: () => 1, observe: () => undefined },
+            events: { emit: () => undefined, reportOmitted: () => undefined },
+            random: () => 0,
+            spread: () => undefined,
+            onChange: () => undefined,
+        });
+        const read = (watches: boolean): Promise<number | undefined> =>
+            evacuations.readAlong(client, layout, watches, async () => 40);
+        return { evacuations, responses, ranges, read };
+    }
+    const item = (name: string, revision: number): store.Item => ({
+        key: `op/evacuate/${name}`,
+        value: "{}",
+        revision,
+        lease: 0,
+    });
+
+    it("knows nothing until a reading succeeds, and reads only to watch from then on", async () => {
+        const { evacuations, responses, ranges, read } = setUp(5_000);
+        chai.expect([await read(false), evacuations.known()]).to.deep.equal([undefined, false]);
+        responses.push(neverthrow.ok({ items: [item("a", 12)], revision: 30 }));
+        chai.expect([await read(false), evacuations.known()]).to.deep.equal([30, true]);
+        chai.expect([await read(false), ranges.length]).to.deep.equal([40, 2]);
+        responses.push(neverthrow.ok({ items: [item("a", 12)], revision: 60 }));
+        chai.expect([await read(true), evacuations.evacuated()]).to.deep.equal([40, ["a"]]);
+    });
+
+    it("applies what a watch shows in the order of revisions, and no key that isn't an evacuation", async () => {
+        const { evacuations, responses, read } = setUp(5_000);
+        responses.push(neverthrow.ok({ items: [item("a", 12)], revision: 30 }));
+        await read(true);
+        const config = { ...item("", 35), key: "op/config" };
+        const removed = [{ key: "op/evacuate/a", revision: 32 }, { key: "op/evacuate/b", revision: 33 }];
+        evacuations.applyChanges({ items: [item("b", 34), config], removed, revision: 35 }, layout);
+        chai.expect(evacuations.evacuated()).to.deep.equal(["b"]);
+    });
+
+    it("reads and watches the configuration alone on a platform without evacuations", async () => {
+        const { evacuations, ranges, read } = setUp(undefined);
+        chai.expect([await read(true), ranges, evacuations.known()]).to.deep.equal([40, [], true]);
+        chai.expect(evacuations.watched(layout)).to.equal("op/config");
+        evacuations.offer({ revision: 9, failureDomains: ["a"] });
+        chai.expect(evacuations.phase("a")).to.equal("open");
+    });
+});
--- a/src/proxy/evacuations.ts
+++ b/src/proxy/evacuations.ts
@@ -44,12 +44,14 @@
     /** Takes a set that another host announces, if it is newer. */
     offer(set: evacuation.EvacuationSet | undefined): void;
     /**
-     * Reads the set from the store along with the configuration, which `readConfiguration` reads. Resolves to the revision
-     * from which to watch both, or to undefined when a reading failed.
+     * Reads the set from the store along with the configuration, which `readConfiguration` reads. A host that isn't going to
+     * watch both reads the set only while it knows none, and else receives it from other hosts. Resolves to the revision from
+     * which to watch, or to undefined when a reading failed.
      */
     readAlong(
         client: store.Store,
         layout: Layout,
+        watches: boolean,
         readConfiguration: () => Promise<number | undefined>,
     ): Promise<number | undefined>;
     /** Prefix or key to watch for what the operators write. */
@@ -119,8 +121,8 @@
         announced: () => (enabled ? state.announced() : undefined),
         offer: set => offer(set, "host"),
         watched: layout => (enabled ? layout.operatorsPrefix : layout.configurationKey),
-        async readAlong(client, layout, readConfiguration) {
-            if (!enabled) {
+        async readAlong(client, layout, watches, readConfiguration) {
+            if (!enabled || (!watches && state.known())) {
                 return readConfiguration();
             }
             const [own, other] = await Promise.all([read(client, layout.evacuationsPrefix), readConfiguration()]);
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -309,11 +309,12 @@
         if (waits) {
             return true;
         }
-        let revision = await options.evacuations.readAlong(client, options.layout, readConfiguration);
+        const watches = options.watchesConfiguration();
+        let revision = await options.evacuations.readAlong(client, options.layout, watches, readConfiguration);
         const era = options.era.current();
         const isCurrent = (): boolean => !closed && options.watchesConfiguration() && options.era.current() === era;
         const rereadAtMs = clock.now() + rereadIntervalMs;
-        while (revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
+        while (watches && revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
             // A watch may time out although the store is healthy, so its result isn't tracked as availability.
             const watched = await client.watch(options.evacuations.watched(options.layout), revision, watchTimeoutMs);
             if (watched.isErr()) {
