--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -2,6 +2,8 @@
  * Chooses the endpoint of a read by the time in which each endpoint is expected to answer, and by whether it pays to leave
  * the failure domain or the region.
  */
+import type * as distances from "./distance.js";
+import type * as eligibility from "./eligibility.js";
 import * as positions from "./position.js";
 import * as spillovers from "./spillover.js";
 
@@ -16,7 +18,7 @@
     readonly trusted: boolean;
     /** Probability that a statement fails there, from 0 to 1. */
     readonly failureRate: number;
-    readonly distance: spillovers.Distance;
+    readonly distance: distances.Distance;
     /** Network round-trip time, in milliseconds. */
     readonly roundTripMs: number;
     /** Recent time of a statement beyond the round trip, in milliseconds. */
@@ -31,6 +33,8 @@
     readonly appliedPosition: positions.Position | undefined;
     /** Estimated replication lag of the endpoint, in milliseconds. */
     readonly estimatedLagMs: number;
+    /** True if the endpoint has had its share for now; it is chosen only if no other can serve the read. */
+    readonly rationed?: boolean;
 }
 
 /** Replication position that a read must see at least. */
@@ -51,7 +55,15 @@
 /** Why an endpoint was not chosen. */
 export interface Rejection {
     readonly endpoint: string;
-    readonly reason: "draining" | "tried" | "not primary" | "suspect" | "failing" | "slower";
+    readonly reason:
+        | "draining"
+        | "tried"
+        | "not primary"
+        | "suspect"
+        | "failing"
+        | "rationed"
+        | "slower"
+        | eligibility.Reason;
     readonly expectedMs?: number;
 }
 
@@ -61,7 +73,7 @@
     readonly expectedMs: number;
     /** Distance that the read left, and the part of the reads that leave it; undefined if it left none. */
     readonly left:
-        | { readonly distance: spillovers.Distance; readonly share: number; readonly stayMs: number }
+        | { readonly distance: distances.Distance; readonly share: number; readonly stayMs: number }
         | undefined;
     readonly rejected: readonly Rejection[];
 }
@@ -115,8 +127,10 @@
         }
         return reason === undefined;
     });
-    const sound = eligible.filter(candidate => !candidate.suspect && candidate.trusted);
-    const used = sound.length > 0 ? sound : eligible;
+    const isSound = (candidate: Candidate): boolean => !candidate.suspect && candidate.trusted;
+    const sound = eligible.filter(isSound);
+    const unrationed = sound.filter(candidate => candidate.rationed !== true);
+    const used = [unrationed, sound, eligible].find(group => group.length > 0) ?? [];
     const options = used.map((candidate): spillovers.Option => ({
         endpoint: candidate.endpoint,
         distance: candidate.distance,
@@ -127,7 +141,8 @@
     for (const candidate of eligible) {
         const option = options.find(entry => entry.endpoint === candidate.endpoint);
         if (option === undefined) {
-            rejected.push({ endpoint: candidate.endpoint, reason: candidate.suspect ? "suspect" : "failing" });
+            const reason = candidate.suspect ? "suspect" : candidate.trusted ? "rationed" : "failing";
+            rejected.push({ endpoint: candidate.endpoint, reason });
         }
         else if (option !== decision?.option) {
             rejected.push({ endpoint: candidate.endpoint, reason: "slower", expectedMs: option.expectedMs });
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -19,6 +19,8 @@
     readonly unlisted: boolean;
     /** True when the primary has announced its shutdown. */
     readonly draining: boolean;
+    /** Why the primary has to be moved although it is healthy; undefined if it need not be. */
+    readonly misplaced?: "evacuated" | "outside homes" | undefined;
     /** True when the endpoint reports that it isn't primary. */
     readonly demoted: boolean;
     /** True when the primary answers but fails too many statements, and a replica that doesn't could replace it. */
@@ -39,7 +41,15 @@
     | { readonly replace: false; readonly reason: "healthy" | "suspected" | "isolated" }
     | {
         readonly replace: true;
-        readonly reason: "gone" | "draining" | "resigned" | "silent" | "partly unreachable" | "failing";
+        readonly reason:
+            | "gone"
+            | "draining"
+            | "resigned"
+            | "silent"
+            | "partly unreachable"
+            | "evacuated"
+            | "outside homes"
+            | "failing";
     };
 
 /** A primary that answers no host for this long is replaced, in milliseconds. Spans several probes. */
@@ -80,9 +90,12 @@
     if (failing.length >= 2 && failing.length >= all.length * partialShare) {
         return { replace: true, reason: "partly unreachable" };
     }
-    if (evidence.draining) {
+    if (evidence.draining && evidence.misplaced !== "evacuated") {
         return { replace: true, reason: "draining" };
     }
+    if (evidence.misplaced !== undefined) {
+        return { replace: true, reason: evidence.misplaced };
+    }
     if (evidence.failing) {
         return { replace: true, reason: "failing" };
     }
@@ -95,18 +108,22 @@
     /** Last log entry that the replica has received. */
     readonly received: positions.Position;
     readonly draining: boolean;
+    /** Number of the group's routes whose homes include the replica. */
+    readonly servedRoutes?: number;
     /** Round-trip time from this host to the endpoint, in milliseconds. */
     readonly roundTripMs: number;
 }
 
 /**
  * Chooses the replica to promote: the one that has received most of the log, so that the fewest commits are lost.
- * Among equals it prefers one that isn't draining, then the one with the shortest round trip.
+ * Among equals it prefers one that isn't draining, then the one whose region serves most routes, then the one with the
+ * shortest round trip.
  */
 export function chooseCandidate(candidates: readonly Candidate[]): Candidate | undefined {
     return [...candidates].sort((left, right) =>
         positions.compare(right.received, left.received)
         || Number(left.draining) - Number(right.draining)
+        || (right.servedRoutes ?? 0) - (left.servedRoutes ?? 0)
         || left.roundTripMs - right.roundTripMs
     )[0];
 }
--- a/src/core/spillover.ts
+++ b/src/core/spillover.ts
@@ -8,8 +8,7 @@
  * for a gain that exceeds what distance costs; two failure domains that are equally busy keep their work.
  */
 
-/** Distance from a host to an endpoint: the same failure domain, the same region, or another region. */
-export type Distance = "domain" | "region" | "remote";
+import type { Distance } from "./distance.js";
 
 /** An endpoint that can serve the read. */
 export interface Option {
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -15,9 +15,11 @@
 import type * as coordinators from "./coordinator.js";
 import type * as endpointChoices from "./endpointchoice.js";
 import * as endpointTransfer from "./endpointtransfer.js";
+import type * as evacuations from "./evacuations.js";
 import type * as eventLogs from "./events.js";
 import * as fleets from "./fleet.js";
 import * as databaseGroups from "./group.js";
+import * as homesChecks from "./homescheck.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 import type * as registry from "./registry.js";
@@ -36,8 +38,11 @@
     readonly leadership: leaderships.Leadership;
     readonly directory: directories.Directory;
     readonly limiter: limiters.Limiter;
+    readonly evacuations: evacuations.Evacuations;
     readonly dialer: connections.Dialer;
     readonly spillover: endpointChoices.SpilloverLimits;
+    /** Queries the status of an endpoint, outside of any request; undefined without one. */
+    queryStatus(endpoint: directories.Endpoint): Promise<connections.Status | undefined>;
     /** A random number in [0, 1). */
     random(): number;
     self(): messages.Member;
@@ -60,6 +65,8 @@
     groups(): readonly databaseGroups.Group[];
     /** Applies a changed policy or a changed endpoint listing to the limits and the groups. */
     configurationChanged(): void;
+    /** Creates and closes the connection pools that changed endpoints or evacuations call for. */
+    reconcileEndpoints(): void;
     /** Applies the record of a group's primary; one that is not newer than the known record changes nothing. */
     applyRecord(record: leaderships.Record): void;
     /** Applies a record. If it replaces a primary, resolves once no work on the old primary can be acknowledged. */
@@ -129,6 +136,7 @@
         peers,
         listing: () => storeSync().endpointListing,
     });
+    const checkHomes = homesChecks.createHomesCheck(events, options.regionByFailureDomain);
     const configurationFetcher = configurationTransfer.createFetcher({
         clock,
         events,
@@ -178,6 +186,8 @@
             viewAgeMs: () => peers().viewAgeMs(),
             spillover: options.spillover,
             endpoints: () => directory.inGroup(name),
+            evacuations: options.evacuations,
+            queryStatus: options.queryStatus,
         });
         groups.set(name, created);
         created.reconcileEndpoints();
@@ -199,6 +209,7 @@
     function configurationChanged(): void {
         const policy = storeSync().policy();
         limiter.setLimits(policy.organisations);
+        checkHomes(policy);
         policy.groups.forEach((_, name) => group(name));
         groups.forEach((entry, name) => {
             if (policy.groups.has(name) || directory.inGroup(name).length > 0) {
@@ -214,6 +225,7 @@
             events.emit("tenureChanged", { ...record, replaced: previous });
             const affectedGroup = groups.get(record.group);
             affectedGroup?.notifyWaiters();
+            affectedGroup?.reconcileEndpoints();
             if (record.changing && record.primary !== "") {
                 // Work that still runs then can no longer be acknowledged, so its connections are closed.
                 clock.after(options.handoverGraceMs, () => affectedGroup?.pool(record.primary)?.closeInUse());
@@ -307,6 +319,7 @@
             organisationUsage: limiter.usage(nowMs),
             endpointUsage: endpointUsage(),
             endpointOutcomes: Object.assign({}, ...[...groups.values()].map(entry => entry.choice.ownOutcomes())),
+            evacuations: options.evacuations.announced(),
         };
     }
 
@@ -324,6 +337,7 @@
         if (digest.storeEra !== undefined) {
             options.era.observe(digest.storeEra);
         }
+        options.evacuations.offer(digest.evacuations);
         digest.primaryRecords.forEach(applyRecord);
         if (requestedAtMs !== undefined && noClockJumpSince(requestedAtMs)) {
             digest.positionSamples.forEach(sample =>
@@ -355,6 +369,7 @@
             return ageMs > oldProofAgeMs && Number.isFinite(ageMs);
         },
         groups: () => [...groups.values()],
+        reconcileEndpoints: () => groups.forEach(entry => entry.reconcileEndpoints()),
         newestPeerListing() {
             const listings = peers().live().flatMap(peer => {
                 const listing = peer.digest?.endpointListing;
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -17,6 +17,7 @@
 import type * as probers from "./prober.js";
 import type * as schedules from "./readingschedule.js";
 import * as registry from "./registry.js";
+import type * as relocations from "./relocation.js";
 import type * as replacement from "./replacement.js";
 import type * as restoration from "./restoration.js";
 import type * as storeSyncs from "./storesync.js";
@@ -35,6 +36,7 @@
     readonly restorer: restoration.Restorer;
     readonly lock: failoverLocks.HeldLock;
     readonly schedule: Pick<schedules.Schedule, "lockRank" | "registrationLife">;
+    readonly relocation: relocations.Relocation;
     groups(): readonly groups.Group[];
     endpoints(group: string): readonly directory.Endpoint[];
 }
@@ -119,7 +121,7 @@
     async function probe(group: groups.Group, record: leadership.Record): Promise<void> {
         const state = stateOf(group.name);
         const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
-        if (endpoint === undefined || state.probing) {
+        if (endpoint === undefined || state.probing || !options.relocation.mayContact(endpoint)) {
             return;
         }
         state.probing = true;
@@ -167,6 +169,7 @@
         const decision = promotion.evaluate({
             unlisted: endpoint === undefined,
             draining: endpoint?.draining ?? false,
+            misplaced: options.relocation.reasonToMove(group.name, record.primary),
             demoted: stateOf(group.name).demoted,
             failing: replacer.sinceReplacementMs(group.name) >= failingHoldOffMs && isFailing(group, record),
             own,
@@ -206,6 +209,9 @@
             void attempt(group, () => replacer.createRecord(group));
             return;
         }
+        if (!options.relocation.hasSuccessor(group.name)) {
+            return;
+        }
         if (record.changing) {
             void attempt(group, () => replacer.replace(group, "unfinished"));
             return;
--- a/src/proxy/digestcodec.test.ts
+++ b/src/proxy/digestcodec.test.ts
@@ -48,6 +48,7 @@
     endpointUsage,
     endpointOutcomes,
     knownMembers: fc.constant([]),
+    evacuations: fc.option(fc.record({ revision: fc.nat(), failureDomains: fc.array(name) }), { nil: undefined }),
     cellSummaries: fc.array(
         fc.record({
             cell: name,
--- a/src/proxy/endpointchoice.ts
+++ b/src/proxy/endpointchoice.ts
@@ -1,5 +1,6 @@
 /** Chooses the endpoints of a group's reads: by expected time, by their failures at all hosts, and by distance. */
 import type * as directory from "../core/directory.js";
+import type * as distances from "../core/distance.js";
 import * as ejections from "../core/ejection.js";
 import * as evidence from "../core/evidence.js";
 import * as placement from "../core/placement.js";
@@ -31,14 +32,20 @@
     readonly events: events.EventLog;
     readonly spillover: SpilloverLimits;
     endpoints(): readonly directory.Endpoint[];
-    /** This host's view of a listed endpoint. */
+    /** This host's view of a listed endpoint, created if necessary. */
     view(listed: directory.Endpoint): endpoints.EndpointView;
-    distanceTo(failureDomain: string): spillovers.Distance;
+    /** This host's view of an endpoint; undefined if it has none. */
+    findView(endpoint: string): endpoints.EndpointView | undefined;
+    distanceTo(failureDomain: string): distances.Distance;
+    /** True while an endpoint whose evacuation was taken back has had its share of the reads. */
+    isRationed(listed: directory.Endpoint): boolean;
     isPrimary(endpoint: string): boolean;
 }
 
 /** What a read requires. */
 export interface Request extends placement.ReadRequirement {
+    /** Endpoints that may take the request. */
+    readonly eligible: ReadonlySet<string>;
     readonly organisation: string;
     /** Time by which the read should be answered. */
     readonly targetMs: number;
@@ -70,8 +77,7 @@
     let judgedMs = -Infinity;
 
     function outcomes(endpoint: string): evidence.Outcomes {
-        const listed = options.endpoints().find(({ id }) => id === endpoint);
-        const own = listed === undefined ? evidence.none : options.view(listed).outcomes();
+        const own = options.findView(endpoint)?.outcomes() ?? evidence.none;
         return evidence.add(own, options.otherHostsOutcomes(endpoint));
     }
 
@@ -102,6 +108,7 @@
             draining: listed.draining,
             load: inputs.load + options.otherHostsLoad(listed.id),
             concurrency: listed.slots,
+            rationed: options.isRationed(listed),
             trusted: ejector.mayServe(listed.id, clock.now()),
             failureRate: evidence.failureRate(outcomes(listed.id)),
             distance: options.distanceTo(listed.failureDomain),
@@ -117,14 +124,15 @@
                 viewAgeMs: options.viewAgeMs(),
                 nowMs: clock.now(),
             };
-            const candidates = options.endpoints().map(listed => candidate(listed, request.organisation));
-            return placement.choose(candidates, request, eligible => spillover.choose(eligible, situation));
+            const eligible = options.endpoints().filter(({ id }) => request.eligible.has(id));
+            const candidates = eligible.map(listed => candidate(listed, request.organisation));
+            return placement.choose(candidates, request, remaining => spillover.choose(remaining, situation));
         },
         ownOutcomes: () =>
             Object.fromEntries(
                 options.endpoints()
                     .filter(({ id }) => outcomes(id).failed >= minReportedFailures)
-                    .map(listed => [listed.id, options.view(listed).outcomes()]),
+                    .map(({ id }) => [id, options.findView(id)?.outcomes() ?? evidence.none]),
             ),
         spilloverShares: () => spillover.shares(),
         forget: endpoint => ejector.forget(endpoint),
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -2,20 +2,25 @@
 import * as neverthrow from "neverthrow";
 import type * as shares from "../core/connectionshares.js";
 import type * as directory from "../core/directory.js";
+import * as distances from "../core/distance.js";
+import * as decisions from "../core/eligibility.js";
 import * as failure from "../core/failure.js";
+import type * as homes from "../core/homes.js";
 import type * as leadership from "../core/leadership.js";
 import type * as placement from "../core/placement.js";
 import type * as policies from "../core/policy.js";
 import * as positions from "../core/position.js";
 import type * as promotion from "../core/promotion.js";
 import * as samples from "../core/samples.js";
-import type * as spillovers from "../core/spillover.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
+import * as eligibilities from "./eligibility.js";
 import * as endpoints from "./endpoint.js";
 import * as endpointChoices from "./endpointchoice.js";
+import type * as evacuations from "./evacuations.js";
 import type * as events from "./events.js";
 import type * as pools from "./pool.js";
+import * as sampleQueries from "./samplequery.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
@@ -35,6 +40,9 @@
     share(endpoint: string): shares.Share;
     readonly spillover: endpointChoices.SpilloverLimits;
     endpoints(): readonly directory.Endpoint[];
+    readonly evacuations: evacuations.Evacuations;
+    /** Queries the status of an endpoint; undefined without one. */
+    queryStatus(endpoint: directory.Endpoint): Promise<connections.Status | undefined>;
 }
 
 /** A commit acknowledged to a session. */
@@ -54,6 +62,8 @@
     /** The session's newest commit. */
     readonly lastCommit: Commit | undefined;
     readonly organisation: string;
+    /** Regions in which the statement may run. */
+    readonly homes: homes.Homes;
     /** Endpoints at which the statement was already attempted. */
     readonly triedEndpoints: ReadonlySet<string>;
 }
@@ -82,6 +92,8 @@
     /** Chooses the endpoint for a statement; fails when no primary is known or no endpoint can serve the read. */
     place(request: PlacementRequest): Result<Placement>;
     pool(endpoint: string): pools.Pool | undefined;
+    /** False once the rest of the endpoint's transactions has to be rolled back, because its failure domain is evacuated. */
+    mayContinue(endpoint: string): boolean;
     /** Updates the statistics of an endpoint with a reply, and adds a sample if the endpoint is the primary. */
     recordReply(
         endpoint: string,
@@ -110,6 +122,13 @@
     /** Adds a sample taken by another host or by a probe, requested at the given time. */
     addSample(position: positions.Position, requestedAtMs: number): void;
     newestSample(): samples.Sample | undefined;
+    /**
+     * True if a replica could serve the read if only a sample of the primary were known. Without one only the primary can, and
+     * it may be outside the homes of the request; its status may be queried all the same.
+     */
+    needsSample(request: PlacementRequest): boolean;
+    /** Queries the primary for a sample; all callers at the same time share one query. */
+    querySample(): Promise<void>;
     /** When this host last reached the primary, and since when it has failed to. */
     primaryContact(): promotion.Contact;
     /** Records that an endpoint answered, whatever its answer was. */
@@ -122,7 +141,10 @@
     minStatementMs(endpoint: string): number;
     /** Discards the samples and failures, because a clock jump made their ages unknown. */
     invalidateAges(): void;
-    /** Creates views of newly listed endpoints, and closes the pools of those that are no longer listed. */
+    /**
+     * Creates views of newly listed endpoints, and closes the pools of those that are no longer listed or may take no new
+     * work because their failure domain is evacuated.
+     */
     reconcileEndpoints(): void;
     /** Fails expired requests and closes surplus idle connections; to be called at short intervals. */
     sweepPools(): void;
@@ -137,8 +159,6 @@
 const sampleRetentionMs = 10_000;
 /** Subtracted from the allowed staleness, for the time from the caller's first byte until this host reads it. */
 const arrivalMarginMs = 40;
-/** Estimated round trips within a failure domain, within a region, and to another region. */
-const roundTripByDistanceMs = { domain: 0.5, region: 3, remote: 17 } as const;
 /** Delay suggested to callers before they retry. */
 const retryAfterMs = 150;
 /** Interval at which `waitUntilIdle` checks for operations in progress. */
@@ -148,6 +168,10 @@
 export function createGroup(options: Options): Group {
     const { clock, name, leadership } = options;
     const views = new Map<string, endpoints.EndpointView>();
+    const eligibility = eligibilities.createEligibility({
+        ...options,
+        primary: () => leadership.find(name)?.primary,
+    });
     const recentSamples = samples.createSamples(sampleRetentionMs);
     const waiters = new Set<() => void>();
     const workInProgress = new Map<string, number>();
@@ -155,7 +179,9 @@
         ...options,
         group: name,
         view,
-        distanceTo,
+        findView: endpoint => views.get(endpoint),
+        distanceTo: failureDomain => distanceTo(failureDomain),
+        isRationed: listed => eligibility.isRationed(listed),
         isPrimary: endpoint => leadership.find(name)?.primary === endpoint,
     });
 
@@ -180,14 +206,10 @@
         return created;
     }
 
-    const roundTripToDomainMs = (failureDomain: string): number => roundTripByDistanceMs[distanceTo(failureDomain)];
-
-    function distanceTo(failureDomain: string): spillovers.Distance {
-        if (failureDomain === options.failureDomain) {
-            return "domain";
-        }
-        return options.regionOf(failureDomain) === options.regionOf(options.failureDomain) ? "region" : "remote";
-    }
+    const distanceTo = (failureDomain: string): distances.Distance =>
+        distances.between(options.failureDomain, failureDomain, options.regionOf);
+    const roundTripToDomainMs = (failureDomain: string): number =>
+        distances.roundTripMs(options.failureDomain, failureDomain, options.regionOf);
 
     function hasPrimary(): boolean {
         const record = leadership.find(name);
@@ -232,11 +254,19 @@
         return { position: lastCommit.position, ageMs: Math.min(ageMs, clock.now() - lastCommit.committedMs) };
     }
 
-    function placePrimary(): Result<Placement> {
+    function placePrimary(eligible: decisions.Eligibility): Result<Placement> {
         const record = leadership.find(name);
         const listed = options.endpoints().find(endpoint => endpoint.id === record?.primary);
         if (record === undefined || !hasPrimary() || listed === undefined) {
-            return neverthrow.err(noPrimary());
+            return neverthrow.err(
+                eligible.exhausted === undefined
+                    ? noPrimary()
+                    : decisions.refusal(name, eligible.exhausted, "endpoint"),
+            );
+        }
+        const reason = eligible.reasonAgainstPrimary(listed.id);
+        if (reason !== undefined) {
+            return neverthrow.err(decisions.refusal(name, reason, "primary"));
         }
         view(listed);
         return neverthrow.ok({
@@ -250,21 +280,40 @@
         });
     }
 
+    function addSample(position: positions.Position, requestedAtMs: number): void {
+        if (options.noClockJumpSince(requestedAtMs)) {
+            recentSamples.add({ position, requestedAtMs });
+        }
+    }
+
     return {
         name,
         choice,
+        addSample,
+        querySample: sampleQueries.createSampleQuery({
+            ...options,
+            primary: () => options.endpoints().find(endpoint => endpoint.id === leadership.find(name)?.primary),
+            isPrimary: endpoint => leadership.isPrimary(name, endpoint, clock.now()),
+            addSample,
+        }),
+        needsSample: request =>
+            !request.needsPrimary && request.consistency.kind !== "primary" && minReadPosition(request) === undefined
+            && eligibility.evaluate(request.homes).eligible.size > 0,
         recordAnswer: endpoint => views.get(endpoint)?.recordAnswer(),
         place(request) {
+            const eligible = eligibility.evaluate(request.homes);
             if (request.needsPrimary || request.consistency.kind === "primary") {
-                return placePrimary();
+                return placePrimary(eligible);
             }
             const required = minReadPosition(request);
-            if (required === undefined) {
-                return placePrimary();
+            // Without an eligible endpoint, only a primary that is about to be replaced may still serve the read.
+            if (required === undefined || eligible.exhausted !== undefined) {
+                return placePrimary(eligible);
             }
             const chosen = choice.choose({
                 floor: required,
                 excluded: request.triedEndpoints,
+                eligible: eligible.eligible,
                 organisation: request.organisation,
                 targetMs: request.targetMs,
             });
@@ -272,6 +321,7 @@
                 const message = `No endpoint of ${name} can serve the read.`;
                 return neverthrow.err(failure.create(failure.Code.replicaBehind, name, message, retryAfterMs));
             }
+            eligibility.countChosen(chosen.endpoint);
             return neverthrow.ok({
                 endpoint: chosen.endpoint,
                 primary: leadership.find(name)?.primary === chosen.endpoint,
@@ -279,10 +329,11 @@
                 sampleAgeMs: required.ageMs,
                 expectedMs: chosen.expectedMs,
                 left: chosen.left,
-                rejected: chosen.rejected,
+                rejected: [...chosen.rejected, ...eligible.rejected],
             });
         },
         pool: endpoint => views.get(endpoint)?.pool,
+        mayContinue: endpoint => eligibility.mayContinue(endpoint),
         recordReply(endpoint, reply, requestedAtMs, context) {
             views.get(endpoint)?.recordReply(reply, requestedAtMs, context);
             const fromPrimary = leadership.isPrimary(name, endpoint, clock.now());
@@ -325,11 +376,6 @@
                 [...waiters].forEach(finish => finish());
             }
         },
-        addSample(position, requestedAtMs) {
-            if (options.noClockJumpSince(requestedAtMs)) {
-                recentSamples.add({ position, requestedAtMs });
-            }
-        },
         newestSample: () => recentSamples.newest(),
         primaryContact: () =>
             views.get(leadership.find(name)?.primary ?? "")?.contact()
@@ -345,12 +391,17 @@
         reconcileEndpoints() {
             const listed = new Map(options.endpoints().map(endpoint => [endpoint.id, endpoint]));
             for (const [id, entry] of views) {
-                if (!listed.has(id)) {
+                const endpoint = listed.get(id);
+                if (endpoint === undefined || !eligibility.takesWork(endpoint)) {
                     entry.pool.close();
                     views.delete(id);
+                    if (endpoint !== undefined) {
+                        eligibility.retire(entry.pool, endpoint);
+                    }
                 }
             }
-            listed.forEach(endpoint => void view(endpoint));
+            eligibility.closeRetired();
+            options.endpoints().filter(eligibility.takesWork).forEach(view);
         },
         sweepPools: () => views.forEach(entry => entry.pool.sweep()),
         loadByEndpoint: () => Object.fromEntries([...views].map(([id, entry]) => [id, entry.pool.load()])),
--- a/src/proxy/identifiers.ts
+++ b/src/proxy/identifiers.ts
@@ -7,6 +7,7 @@
 export const directory = Symbol.for("directory");
 export const limiter = Symbol.for("limiter");
 export const peers = Symbol.for("peers");
+export const places = Symbol.for("places");
 export const storeSync = Symbol.for("storeSync");
 export const reading = Symbol.for("reading");
 export const clusterView = Symbol.for("clusterView");
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -30,6 +30,7 @@
     /** Age of the proof that the records of primaries are current; infinite without one. */
     readonly proofAgeMs: number;
     readonly holdsFailoverLock: boolean;
+    readonly evacuatedFailureDomains: readonly string[];
 }
 
 /** Metrics of one host. */
@@ -110,6 +111,7 @@
     const readingAge = gauge("hyssophatch_store_reading_age_seconds", "Age of the newest reading of the store.", []);
     const listingAge = gauge("hyssophatch_endpoint_listing_age_seconds", "Age of the endpoint listing.", []);
     const seconds = (ms: number): number => Math.min(ms, Number.MAX_SAFE_INTEGER) / 1_000;
+    const evacuated = gauge("hyssophatch_evacuated", "1 for each evacuated failure domain.", ["failure_domain"]);
 
     function gauge(name: string, help: string, labelNames: readonly string[]): prometheus.Gauge {
         return new prometheus.Gauge({ name, help, labelNames: [...labelNames], registers });
@@ -144,6 +146,8 @@
             reader.set(gauges.readsStoreForOthers ? 1 : 0);
             readingAge.set(seconds(gauges.storeReadingAgeMs));
             listingAge.set(seconds(gauges.listingAgeMs));
+            evacuated.reset();
+            gauges.evacuatedFailureDomains.forEach(domain => evacuated.set({ failure_domain: domain }, 1));
             failoverLock.set(gauges.holdsFailoverLock ? 1 : 0);
             return registry.metrics();
         },
--- a/src/proxy/storesync.ts
+++ b/src/proxy/storesync.ts
@@ -6,6 +6,7 @@
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
 import * as listings from "./endpointlisting.js";
+import type * as evacuations from "./evacuations.js";
 import type * as events from "./events.js";
 import type * as messages from "./messages.js";
 import type * as schedules from "./readingschedule.js";
@@ -13,8 +14,7 @@
 import * as registry from "./registry.js";
 
 /** Where the platform stores its documents, and how they are parsed; the parsers return an error message on failure. */
-export interface StoreLayout {
-    readonly configurationKey: string;
+export interface StoreLayout extends evacuations.Layout {
     readonly endpointsPrefix: string;
     parsePolicy(text: string): neverthrow.Result<policies.Policy, string>;
     parseEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string>;
@@ -27,6 +27,7 @@
     readonly era: store.Era;
     readonly layout: StoreLayout;
     readonly directory: directory.Directory;
+    readonly evacuations: evacuations.Evacuations;
     readonly clock: runtime.HostClock;
     readonly events: events.EventLog;
     /** A random number in [0, 1). */
@@ -266,7 +267,7 @@
         // A watch may time out although the store is healthy, so its result isn't tracked as availability.
         const timeoutMs = options.schedule.watchTimeoutMs();
         const watched = await Promise.race([
-            client.watch(options.layout.configurationKey, revision, timeoutMs),
+            client.watch(options.evacuations.watched(options.layout), revision, timeoutMs),
             abandoned,
         ]);
         abandonWatch = undefined;
@@ -277,6 +278,7 @@
         watched.value.items
             .filter(item => item.key === options.layout.configurationKey)
             .forEach(item => offerConfiguration(item.value));
+        options.evacuations.applyChanges(watched.value, options.layout);
         return watched.value.revision;
     }
 
@@ -290,12 +292,13 @@
         if (waits) {
             return true;
         }
-        const firstRevision = await readConfiguration();
+        const watches = schedule.watchesConfiguration();
+        const firstRevision = await options.evacuations.readAlong(client, options.layout, watches, readConfiguration);
         let revision = firstRevision;
         const era = options.era.current();
         const isCurrent = (): boolean => !closed && schedule.watchesConfiguration() && options.era.current() === era;
         const rereadAtMs = clock.now() + rereadIntervalMs;
-        while (revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
+        while (watches && revision !== undefined && isCurrent() && clock.now() < rereadAtMs) {
             revision = await watchConfiguration(revision);
         }
         return firstRevision !== undefined;
--- a/standins/simulatedendpoints.ts
+++ b/standins/simulatedendpoints.ts
@@ -19,6 +19,8 @@
     alive: boolean;
     /** Hosts that can't reach it. */
     readonly cutFrom: Set<number>;
+    /** Commands that have reached it. */
+    commands: number;
 }
 
 /** A promotion that the platform was asked for. */
@@ -43,10 +45,15 @@
     list(): void;
 }
 
-/** Layout of the documents in the simulated store. */
-export const storeLayout: storeSyncs.StoreLayout = {
+/**
+ * Layout of the documents in the simulated store. All endpoints are in zone-0, or i-1 in zone-1 and so on if they are to be
+ * `spread`.
+ */
+export const createStoreLayout = (spread: boolean): storeSyncs.StoreLayout => ({
     configurationKey: "op/config",
     endpointsPrefix: "servers/",
+    evacuationsPrefix: "op/evacuate/",
+    operatorsPrefix: "op/",
     parsePolicy: text =>
         neverthrow.ok({
             ...policies.empty,
@@ -59,14 +66,14 @@
             id: key.slice("servers/".length),
             group,
             address: key,
-            failureDomain: "zone-0",
+            failureDomain: spread ? `zone-${key.slice(-1)}` : "zone-0",
             slots: 2,
             draining: false,
             primary: (JSON.parse(text) as { readonly primary: boolean }).primary,
             born: 1,
             sequence: 1,
         }),
-};
+});
 
 /** Creates three endpoints, the first of which is primary. */
 export function createEndpoints(clock: simulation.Clock, store: simulation.Store): Endpoints {
@@ -76,6 +83,7 @@
         term: 1,
         alive: true,
         cutFrom: new Set(),
+        commands: 0,
     }));
     const promotions: Promotion[] = [];
 
@@ -95,6 +103,7 @@
             await clock.sleep(timeoutMs);
             return undefined;
         }
+        endpoint.commands += 1;
         if (request.kind === "stepDown" && request.term > endpoint.term) {
             endpoint.primary = false;
         }
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -8,11 +8,13 @@
 import * as clusterViews from "../src/proxy/clusterview.js";
 import * as configurationTransfer from "../src/proxy/configurationtransfer.js";
 import * as coordinators from "../src/proxy/coordinator.js";
+import * as evacuationViews from "../src/proxy/evacuations.js";
 import type * as eventLogs from "../src/proxy/events.js";
 import * as failoverLocks from "../src/proxy/failoverlock.js";
 import * as messages from "../src/proxy/messages.js";
 import * as gossip from "../src/proxy/peers.js";
 import * as readingSchedules from "../src/proxy/readingschedule.js";
+import * as relocations from "../src/proxy/relocation.js";
 import * as replacers from "../src/proxy/replacement.js";
 import * as restorers from "../src/proxy/restoration.js";
 import type * as storeNewsExchange from "../src/proxy/storenews.js";
@@ -31,6 +33,7 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly peers: gossip.Peers;
+    readonly evacuations: evacuationViews.Evacuations;
     readonly era: storeEra.StoreEra;
     /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
     fencingToken(): number | undefined;
@@ -52,6 +55,11 @@
     close(): void;
 }
 
+/** Where the hosts stand, and the bound of evacuations, if the platform has them. */
+export interface Topology extends simulatedNetworks.Topology {
+    readonly evacuateMs?: number;
+}
+
 /** The parts of a host that other hosts call. */
 interface Running {
     readonly peers: gossip.Peers;
@@ -76,11 +84,12 @@
 export function createFleet(
     hostCount: number,
     random: () => number,
-    topology: simulatedNetworks.Topology = simulatedNetworks.singleDomain,
+    topology: Topology = simulatedNetworks.singleDomain,
 ): Fleet {
     const clock = simulation.createClock();
     const simulatedStore = simulation.createStore(clock);
     const faults = simulatedNetworks.createFaults();
+    const storeLayout = simulatedEndpoints.createStoreLayout(topology.evacuateMs !== undefined);
     const { all: endpoints, promotions, send, promote, list } = simulatedEndpoints.createEndpoints(
         clock,
         simulatedStore,
@@ -186,12 +195,29 @@
             holdsFailoverLock: () => lock.fencingToken() !== undefined,
             count: () => undefined,
         });
+        const evacuations: evacuationViews.Evacuations = evacuationViews.createEvacuations({
+            evacuateMs: topology.evacuateMs,
+            clock: hostClock,
+            era,
+            events: eventLog,
+            random,
+            spread: () => peers.pollNow(),
+            onChange: () => clusterView.reconcileEndpoints(),
+        });
+        const relocation = relocations.createRelocation({
+            evacuations,
+            clock: hostClock,
+            policy: () => storeSync.policy(),
+            endpoints: name => directory.inGroup(name),
+            regionOf: () => "region",
+        });
         const storeSync: storeSyncs.StoreSync = storeSyncs.createStoreSync({
             self: () => self,
             store: client,
             era,
-            layout: simulatedEndpoints.storeLayout,
+            layout: storeLayout,
             directory,
+            evacuations,
             clock: hostClock,
             events: eventLog,
             random,
@@ -209,17 +235,19 @@
             store: () => client,
             storeSync: () => storeSync,
         });
+        const sendIfOpen = async (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
+            relocation.mayContact(endpoint) ? send(host, endpoint.id, request) : undefined;
         const prober = {
-            send: (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
-                send(host, endpoint.id, request),
+            send: sendIfOpen,
             async statuses(listed: readonly directories.Endpoint[]) {
                 const found = await Promise.all(
                     listed.map(async endpoint =>
-                        [endpoint.id, await send(host, endpoint.id, { kind: "status" })] as const
+                        [endpoint.id, await sendIfOpen(endpoint, { kind: "status" })] as const
                     ),
                 );
                 return new Map(found.flatMap(([id, status]) => (status === undefined ? [] : [[id, status] as const])));
             },
+            evict: () => undefined,
             close: () => undefined,
         };
         const common = {
@@ -232,6 +260,7 @@
             prober,
             leadership,
             endpoints: (name: string) => directory.inGroup(name),
+            relocation,
             fencingToken: () => lock.fencingToken(),
         };
         const coordinator: coordinators.FailoverCoordinator = coordinators.createFailoverCoordinator({
@@ -254,6 +283,7 @@
             failureDomain,
             spillover: { targetFraction: 0.25, maxShare: 1 },
             regionByFailureDomain: {},
+            evacuations,
             clock: hostClock,
             era,
             handoverGraceMs: graceMs,
@@ -262,6 +292,7 @@
             directory,
             limiter,
             dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
+            queryStatus: endpoint => sendIfOpen(endpoint, { kind: "status" }),
             random,
             self: () => self,
             peers: () => peers,
@@ -277,12 +308,14 @@
         const stopEvaluation = hostClock.every(100, () => {
             clusterView.evaluateProof();
             storeNews.check();
+            evacuations.check();
         });
         return {
             leadership,
             storeSync,
             storeNews,
             peers,
+            evacuations,
             era,
             fencingToken: () => lock.fencingToken(),
             close() {
--- a/standins/simulation.ts
+++ b/standins/simulation.ts
@@ -146,6 +146,7 @@
     connect(era: store.Era, link: () => StoreLink, receive: () => Promise<void>): store.Store;
     /** Writes as the operator or an endpoint does. */
     put(key: string, value: string): void;
+    remove(key: string): void;
     get(key: string): string | undefined;
     copy(): Data;
     /** Comes back from a copy in the next era. */
@@ -166,6 +167,10 @@
     let nextLease = 1;
     let era = 1;
     const calls: Call[] = [];
+    let removed: { readonly key: string; readonly revision: number }[] = [];
+
+    const removedSince = (prefix: string, after: number) =>
+        removed.filter(row => row.revision > after && row.key.startsWith(prefix));
 
     function expireLeases(): void {
         for (const [id, lease] of leases) {
@@ -264,9 +269,15 @@
                         prefix,
                         () => (after > revision
                             ? neverthrow.err({ kind: "missing" })
-                            : neverthrow.ok({ items: changed(), revision })),
+                            : neverthrow.ok({
+                                items: changed(),
+                                removed: removedSince(prefix, after),
+                                revision,
+                            })),
                         async () => {
-                            while (clock.now() < deadlineMs && era === eraAtStart && changed().length === 0) {
+                            const isChanged = (): boolean =>
+                                changed().length > 0 || removedSince(prefix, after).length > 0;
+                            while (clock.now() < deadlineMs && era === eraAtStart && !isChanged()) {
                                 await clock.sleep(watchCheckMs);
                             }
                         },
@@ -288,6 +299,11 @@
             revision += 1;
             write(key, value);
         },
+        remove(key) {
+            revision += 1;
+            items.delete(key);
+            removed.push({ key, revision });
+        },
         get: key => items.get(key)?.value,
         copy: () => ({ items: new Map(items), leases: new Map(leases), revision, nextLease }),
         restore(copy) {
@@ -297,6 +313,7 @@
                 [...copy.leases].map(([id, lease]) => [id, { ...lease, expiresAtMs: clock.now() + lease.ttlMs }]),
             );
             ({ revision, nextLease } = copy);
+            removed = [];
             era += 1;
         },
         era: () => era,
