--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -19,6 +19,8 @@
     readonly born: number;
     /** Number of the endpoint's report, which rises as long as the process lives. */
     readonly sequence: number;
+    /** How much longer the endpoint stays slow after its start, as of the report; absent if the platform reports none. */
+    readonly coldRemainingMs?: number;
 }
 
 /** All known endpoints. */
--- a/src/core/eligibility.ts
+++ b/src/core/eligibility.ts
@@ -78,7 +78,14 @@
         : failure.create(failure.Code.outsideHomes, group, message, homesRetryMs);
 }
 
+/** Of cold endpoints without room none has room again within the time that a request waits. */
+const finalCodes: ReadonlySet<failure.Code> = new Set([
+    failure.Code.evacuated,
+    failure.Code.outsideHomes,
+    failure.Code.endpointCold,
+]);
+
 /** True for a failure that another attempt within the same request can't change. */
 export function isFinal(cause: failure.Failure): boolean {
-    return cause.code === failure.Code.evacuated || cause.code === failure.Code.outsideHomes;
+    return finalCodes.has(cause.code);
 }
--- a/src/core/limiter.ts
+++ b/src/core/limiter.ts
@@ -6,44 +6,11 @@
  * of the remaining tokens; shares are proportional to demand. Tokens that a host does not use are available to all
  * hosts again after the next exchange.
  */
+import * as demands from "./demand.js";
 import * as failure from "./failure.js";
+import * as bounds from "./limits.js";
 
-/** Limits of one organisation over all hosts. */
-export interface Limit {
-    readonly ratePerSecond: number;
-    readonly burst: number;
-}
-
-/** What one host reports about one organisation. */
-export interface Usage {
-    /** Recently requested operations a second, whether admitted or not. */
-    readonly demandPerSecond: number;
-    /** Operations admitted since the host's process started. */
-    readonly admittedCount: number;
-    /** Tokens remaining for all hosts together, as the reporting host estimates them. */
-    readonly remaining: number;
-}
-
-/** Usage by name of the organisations that have recent demand or admitted operations at a host. */
-export type UsageByOrganisation = Readonly<Record<string, Usage>>;
-
-/** Usage report of another host, or of several hosts of a cell together. */
-export interface UsageReport {
-    /** Identifies the reporting process or cell: a restarted host, whose counts start at 0 again, has another id. */
-    readonly id: string;
-    readonly usage: UsageByOrganisation;
-    /** Number of hosts that the report covers. */
-    readonly hostCount: number;
-    /** Time since the report was made, in milliseconds. */
-    readonly ageMs: number;
-}
-
-/** The reports of all other hosts. */
-export interface UsageReports {
-    readonly reports: readonly UsageReport[];
-    /** Number of other hosts that are registered but have not reported lately. */
-    readonly suspectedHosts: number;
-}
+export * from "./limits.js";
 
 /** Whether an operation is admitted, and the state that led to the decision. */
 export interface Decision {
@@ -70,13 +37,13 @@
 /** Admits operations within the limits of their organisations. */
 export interface Limiter {
     /** Replaces the limits; organisations without one are refused. */
-    setLimits(limits: ReadonlyMap<string, Limit>): void;
+    setLimits(limits: ReadonlyMap<string, bounds.Limit>): void;
     /** Deducts what the other hosts admitted, and sets this host's shares anew. */
-    applyReports(reports: UsageReports, nowMs: number): void;
+    applyReports(reports: bounds.UsageReports, nowMs: number): void;
     /** Admits one operation, or refuses it with the time after which to retry. */
     admit(organisation: string, nowMs: number): Decision;
     /** The usage that this host reports to the others. */
-    usage(nowMs: number): UsageByOrganisation;
+    usage(nowMs: number): bounds.UsageByOrganisation;
 }
 
 /** Token bucket of one organisation. */
@@ -95,24 +62,19 @@
     share: number;
     /** Fraction of the demand on all hosts that the limit lets through. */
     admittedFraction: number;
-    /** Exponentially decayed number of requests. */
-    recentRequests: number;
-    decayedMs: number;
-    /** Demand in this host's latest reports, oldest first. */
-    readonly reportedDemand: { readonly atMs: number; readonly perSecond: number }[];
+    readonly demand: demands.Demand;
     admittedCount: number;
     /** Admitted operations in the latest report from each other host, by the report's id. */
     readonly peerCounts: Map<string, number>;
 }
 
-/** Time constant of the exponentially decayed demand: two exchanges of usage reports. */
-const demandTimeConstantMs = 1_000;
 /** Added to the demand of every host, so that an idle host keeps a share for its first operation. */
 const idleDemandPerSecond = 0.3;
-/** A new bucket starts with the tokens that accrue in this time: the host admitted nothing while it was starting. */
+/**
+ * A new bucket holds the tokens that accrue in this time, as the host admitted nothing while it was starting, and those
+ * that accrued since, as nobody reported to have spent any.
+ */
 const initialFillMs = 1_000;
-/** Fraction of the burst that is handed out; the rest covers operations that hosts admit at the same moment. */
-const usableBurstFraction = 0.85;
 /** Number of hosts that a starting host assumes until the first exchange. */
 const assumedHostCount = 8;
 /**
@@ -120,9 +82,6 @@
  * report: by then most hosts have been discovered.
  */
 const warmUpMs = 2_000;
-/** Time for which reported demand is kept: longer than a report takes to reach all hosts. */
-const demandHistoryMs = 4_000;
-const demandHistorySpacingMs = 50;
 /**
  * Largest debt of a bucket, as the time that it takes to refill. Partitioned hosts may overspend by more, but a larger
  * debt would penalise the organisation after the partition has healed.
@@ -143,22 +102,26 @@
 const minReportedDemandPerSecond = 0.1;
 
 /** Creates a limiter without limits, for a host that has had no usage reports yet. */
-export function createLimiter(): Limiter {
-    let limits: ReadonlyMap<string, Limit> = new Map();
+export function createLimiter(options: bounds.Options = bounds.withoutTolerance): Limiter {
+    /** The tolerance covers only what hosts that hear of each other directly don't know of each other. */
+    const tolerance = (): bounds.Tolerance => (options.hearsAllDirectly() ? options.tolerance : bounds.noTolerance);
+    let limits: ReadonlyMap<string, bounds.Limit> = new Map();
     const buckets = new Map<string, Bucket>();
     let hostCount: number | undefined;
     /** Reports of the previous exchange, by id. */
-    let previousReports: ReadonlyMap<string, UsageReport> = new Map();
+    let previousReports: ReadonlyMap<string, bounds.UsageReport> = new Map();
     let startedMs: number | undefined;
     /** Fraction of each limit that the reporting hosts may use; the rest is withheld for suspected hosts. */
     let reachableFraction = 1;
 
-    function bucketOf(organisation: string, limit: Limit, nowMs: number): Bucket {
+    function bucketOf(organisation: string, limit: bounds.Limit, nowMs: number): Bucket {
         const existing = buckets.get(organisation);
         if (existing !== undefined) {
             return existing;
         }
-        const tokens = Math.min(limit.burst, limit.ratePerSecond * initialFillMs / 1_000) * reachableFraction;
+        const fillMs = initialFillMs + nowMs - (startedMs ?? nowMs);
+        const fill = Math.max(limit.ratePerSecond * fillMs / 1_000, bounds.minExcessOf(limit, tolerance()));
+        const tokens = Math.min(depthOf(limit, nowMs), fill) * reachableFraction;
         const share = 1 / (hostCount ?? assumedHostCount);
         const created: Bucket = {
             tokens,
@@ -169,9 +132,7 @@
             refilledMs: nowMs,
             share,
             admittedFraction: 1,
-            recentRequests: 0,
-            decayedMs: nowMs,
-            reportedDemand: [],
+            demand: demands.createDemand(nowMs),
             admittedCount: 0,
             peerCounts: new Map(),
         };
@@ -179,21 +140,20 @@
         return created;
     }
 
-    /** Brings the demand up to date; returns it in requests a second. */
-    function decayDemand(bucket: Bucket, nowMs: number): number {
-        bucket.recentRequests *= Math.exp((bucket.decayedMs - nowMs) / demandTimeConstantMs);
-        bucket.decayedMs = nowMs;
-        return bucket.recentRequests * 1_000 / demandTimeConstantMs;
+    /** Largest number of tokens; it includes unreported operations, which are deducted when they are reported. */
+    function capacity(bucket: Bucket, limit: bounds.Limit, nowMs: number): number {
+        return depthOf(limit, nowMs) * reachableFraction + bucket.unreported;
     }
 
-    /** Largest number of tokens; it includes unreported operations, which are deducted when they are reported. */
-    function capacity(bucket: Bucket, limit: Limit): number {
-        return limit.burst * usableBurstFraction * reachableFraction + bucket.unreported;
+    /** Largest number of tokens that may be spent at once, over all hosts. */
+    function depthOf(limit: bounds.Limit, nowMs: number): number {
+        const runMs = nowMs - (startedMs ?? nowMs);
+        return bounds.depthOf(limit, tolerance(), Math.min(1, runMs / options.tolerance.windowMs));
     }
 
-    function refill(bucket: Bucket, limit: Limit, nowMs: number): void {
+    function refill(bucket: Bucket, limit: bounds.Limit, nowMs: number): void {
         const gained = limit.ratePerSecond * reachableFraction * (nowMs - bucket.refilledMs) / 1_000;
-        bucket.tokens = Math.min(capacity(bucket, limit), bucket.tokens + gained);
+        bucket.tokens = Math.min(capacity(bucket, limit, nowMs), bucket.tokens + gained);
         bucket.credit += gained * bucket.share;
         bucket.refilledMs = nowMs;
     }
@@ -213,8 +173,8 @@
     function deductPeerUsage(
         bucket: Bucket,
         organisation: string,
-        limit: Limit,
-        reports: readonly UsageReport[],
+        limit: bounds.Limit,
+        reports: readonly bounds.UsageReport[],
         nowMs: number,
     ): void {
         const warmingUp = nowMs - (startedMs ?? nowMs) < warmUpMs;
@@ -245,29 +205,6 @@
         bucket.tokens = Math.max(bucket.tokens, -limit.ratePerSecond * maxDebtMs / 1_000);
     }
 
-    /**
-     * This host's demand a second as the other hosts know it, given that its reports to them are on average as old as
-     * theirs to it. Shares that hosts compute from different demand could add up to more than 1.
-     */
-    function demandKnownToPeers(bucket: Bucket, atMs: number): number {
-        const firstLater = bucket.reportedDemand.findIndex(entry => entry.atMs > atMs);
-        return bucket.reportedDemand[firstLater < 0 ? bucket.reportedDemand.length - 1 : Math.max(0, firstLater - 1)]
-            ?.perSecond ?? 0;
-    }
-
-    /** Keeps reported demand for `demandKnownToPeers`. */
-    function recordReportedDemand(bucket: Bucket, perSecond: number, nowMs: number): void {
-        if (
-            nowMs - (bucket.reportedDemand[bucket.reportedDemand.length - 1]?.atMs ?? -Infinity)
-                >= demandHistorySpacingMs
-        ) {
-            bucket.reportedDemand.push({ atMs: nowMs, perSecond });
-        }
-        while ((bucket.reportedDemand[0]?.atMs ?? Infinity) < nowMs - demandHistoryMs) {
-            bucket.reportedDemand.shift();
-        }
-    }
-
     /**
      * Sets this host's share, credit and reserve. The credit leaves out the tokens that other hosts have probably spent
      * since their reports.
@@ -275,15 +212,17 @@
     function updateShare(
         bucket: Bucket,
         organisation: string,
-        limit: Limit,
-        reports: readonly UsageReport[],
+        limit: bounds.Limit,
+        reports: readonly bounds.UsageReport[],
         nowMs: number,
     ): void {
-        const demandOf = (report: UsageReport): number => report.usage[organisation]?.demandPerSecond ?? 0;
+        const demandOf = (report: bounds.UsageReport): number => report.usage[organisation]?.demandPerSecond ?? 0;
         const reportingHosts = reports.reduce((sum, report) => sum + report.hostCount, 0);
         const meanAgeMs = reports.reduce((sum, report) => sum + report.ageMs * report.hostCount, 0)
             / Math.max(1, reportingHosts);
-        const ownDemand = demandKnownToPeers(bucket, nowMs - meanAgeMs) + idleDemandPerSecond;
+        // The demand as the others know it, given that this host's reports to them are on average as old as theirs to it:
+        // shares that hosts compute from different demand could add up to more than 1.
+        const ownDemand = bucket.demand.reportedPerSecond(nowMs - meanAgeMs) + idleDemandPerSecond;
         const totalDemand = reports.reduce(
             (sum, report) => sum + demandOf(report) + idleDemandPerSecond * report.hostCount,
             ownDemand,
@@ -293,11 +232,17 @@
             (sum, report) => sum + demandOf(report) * bucket.admittedFraction * report.ageMs / 1_000,
             0,
         );
-        bucket.tokens = Math.min(bucket.tokens, capacity(bucket, limit));
+        bucket.tokens = Math.min(bucket.tokens, capacity(bucket, limit, nowMs));
         bucket.share = ownDemand / totalDemand;
-        bucket.credit = (bucket.tokens - bucket.unreported) * bucket.share;
-        const fullness = Math.max(0, bucket.tokens - bucket.unreported)
-            / Math.max(1, limit.burst * usableBurstFraction * reachableFraction);
+        // The others don't know what this host admitted beyond their expectation, so it counts against this share alone.
+        const oldestAgeMs = reports.reduce((oldest, report) => Math.max(oldest, report.ageMs), 0);
+        const admitted = bucket.admittedCount - bucket.demand.admittedBefore(nowMs - oldestAgeMs);
+        const unexpected = !options.hearsAllDirectly()
+            ? 0
+            : Math.max(0, admitted - ownDemand * bucket.admittedFraction * oldestAgeMs / 1_000);
+        const remaining = bucket.tokens - bucket.unreported;
+        bucket.credit = (remaining + unexpected) * bucket.share - unexpected;
+        const fullness = Math.min(1, Math.max(0, remaining) / Math.max(1, depthOf(limit, nowMs) * reachableFraction));
         bucket.reserve = Math.min(
             maxReserve,
             bucket.reserve + fullness * (nowMs - bucket.reserveUpdatedMs) / reserveGrowthMs,
@@ -347,18 +292,17 @@
         admit(organisation, nowMs) {
             const limit = limits.get(organisation);
             if (limit === undefined) {
-                return { admitted: false, retryAfterMs: demandTimeConstantMs, state: stateOf(undefined) };
+                return { admitted: false, retryAfterMs: demands.timeConstantMs, state: stateOf(undefined) };
             }
             const bucket = bucketOf(organisation, limit, nowMs);
-            decayDemand(bucket, nowMs);
-            bucket.recentRequests += 1;
+            bucket.demand.record(nowMs);
             refill(bucket, limit, nowMs);
             const minCredit = 1 - Math.min(1, maxOverdraft / (hostCount ?? assumedHostCount));
             if (bucket.credit <= minCredit || (bucket.credit < 1 && bucket.tokens < 1)) {
                 if (bucket.reserve < 1 || bucket.tokens - bucket.unreported < 1) {
                     const ownRatePerSecond = Math.max(limit.ratePerSecond * bucket.share, Number.EPSILON);
                     const missing = Math.max(0.1, minCredit - bucket.credit, 1 - Math.max(bucket.tokens, 0));
-                    const retryAfterMs = Math.min(demandTimeConstantMs, missing * 1_000 / ownRatePerSecond);
+                    const retryAfterMs = Math.min(demands.timeConstantMs, missing * 1_000 / ownRatePerSecond);
                     return { admitted: false, retryAfterMs, state: stateOf(bucket) };
                 }
                 bucket.reserve -= 1;
@@ -369,18 +313,19 @@
             return { admitted: true, retryAfterMs: 0, state: stateOf(bucket) };
         },
         usage(nowMs) {
-            const usages = [...buckets].flatMap(([organisation, bucket]): readonly (readonly [string, Usage])[] => {
-                const demandPerSecond = Math.round(decayDemand(bucket, nowMs) * 10) / 10;
-                const remaining = Math.floor((bucket.tokens - bucket.unreported) / reachableFraction);
-                recordReportedDemand(bucket, demandPerSecond, nowMs);
-                return demandPerSecond < minReportedDemandPerSecond && bucket.admittedCount === 0
-                    ? []
-                    : [[organisation, {
-                        demandPerSecond,
-                        admittedCount: bucket.admittedCount,
-                        remaining,
-                    }]];
-            });
+            const usages = [...buckets].flatMap(
+                ([organisation, bucket]): readonly (readonly [string, bounds.Usage])[] => {
+                    const demandPerSecond = bucket.demand.report(bucket.admittedCount, nowMs);
+                    const remaining = Math.floor((bucket.tokens - bucket.unreported) / reachableFraction);
+                    return demandPerSecond < minReportedDemandPerSecond && bucket.admittedCount === 0
+                        ? []
+                        : [[organisation, {
+                            demandPerSecond,
+                            admittedCount: bucket.admittedCount,
+                            remaining,
+                        }]];
+                },
+            );
             return Object.fromEntries(usages);
         },
     };
--- a/src/core/placement.test.ts
+++ b/src/core/placement.test.ts
@@ -73,6 +73,18 @@
         chai.expect(choose([{ rationed: true }])).to.equal("near");
     });
 
+    it("chooses a cold endpoint only when the warm ones are overloaded, and never one without room", () => {
+        const cold = { cold: true, roomInMs: 0 };
+        const warm = { endpoint: "warm", roundTripMs: 17 };
+        chai.expect(choose([cold, { ...warm, load: 8 }])).to.equal("warm");
+        chai.expect(choose([cold, { ...warm, load: 200 }])).to.equal("near");
+        chai.expect(choose([{ ...cold, roomInMs: 900 }, { ...warm, load: 200 }])).to.equal("warm");
+        const full = [{ ...base, ...cold, roomInMs: 900 }, { ...base, ...cold, endpoint: "other", roomInMs: 400 }];
+        const choice = placement.choose(full, { floor, excluded: noneTried });
+        chai.expect(choice.endpoint).to.equal(undefined);
+        chai.expect(choice.roomInMs).to.equal(400);
+    });
+
     it("never chooses a draining replica", () => {
         chai.expect(choose([{ draining: true }, { endpoint: "far", roundTripMs: 17 }])).to.equal("far");
         chai.expect(choose([{ draining: true }])).to.equal(undefined);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,8 +7,15 @@
 import * as positions from "./position.js";
 import * as spillovers from "./spillover.js";
 
+/** Whether an endpoint is cold, that is, still slow after its start, and when it has room. */
+export interface ColdState {
+    readonly cold: boolean;
+    /** Time until a request may be sent, in milliseconds, as far as known; 0 if there may be room now. */
+    readonly roomInMs: number;
+}
+
 /** State of an endpoint as known to this host. */
-export interface Candidate {
+export interface Candidate extends Partial<ColdState> {
     readonly endpoint: string;
     readonly primary: boolean;
     readonly draining: boolean;
@@ -59,6 +66,7 @@
         | "draining"
         | "tried"
         | "not primary"
+        | "cold"
         | "suspect"
         | "failing"
         | "rationed"
@@ -76,11 +84,17 @@
         | { readonly distance: distances.Distance; readonly share: number; readonly stayMs: number }
         | undefined;
     readonly rejected: readonly Rejection[];
+    /** Time until a cold endpoint that was turned down has room; undefined if none was turned down for that. */
+    readonly roomInMs: number | undefined;
 }
 
 /** Chooses among the eligible endpoints. */
 export type Decide = (options: readonly spillovers.Option[]) => spillovers.Decision | undefined;
 
+/** Longest time for which a request waits for room at a cold endpoint, in milliseconds. */
+export const maxRoomWaitMs = 100;
+/** Penalty for a cold endpoint: it is taken only when the others are overloaded. */
+const coldPenaltyMs = 500;
 /** Time that the handshake of a new connection takes beyond its round trip. */
 const handshakeMs = 12;
 /** Penalty for a replica that may not have applied the floor, in which case it refuses the read. */
@@ -107,6 +121,7 @@
         + candidate.serviceMs * (1 + countedRounds)
         + (candidate.hasIdleConnection ? 0 : handshakeMs + candidate.roundTripMs)
         + (isProbablyBehind(candidate, floor) ? behindPenaltyMs : 0)
+        + (candidate.cold === true ? coldPenaltyMs : 0)
         + candidate.failureRate * failedAttemptMs;
 }
 
@@ -149,6 +164,9 @@
         }
     }
     const { left } = decision ?? {};
+    const cold = candidates.filter(({ endpoint }) =>
+        rejected.some(entry => entry.endpoint === endpoint && entry.reason === "cold")
+    );
     return {
         endpoint: decision?.option.endpoint,
         expectedMs: decision?.option.expectedMs ?? Infinity,
@@ -156,6 +174,7 @@
             ? undefined
             : { distance: left, share: decision.share, stayMs: decision.stayMs },
         rejected,
+        roomInMs: cold.length === 0 ? undefined : Math.min(...cold.map(candidate => candidate.roomInMs ?? 0)),
     };
 }
 
@@ -173,5 +192,8 @@
     if (requirement.floor === undefined && !candidate.primary) {
         return "not primary";
     }
-    return candidate.draining && !candidate.primary ? "draining" : undefined;
+    if (candidate.draining && !candidate.primary) {
+        return "draining";
+    }
+    return (candidate.roomInMs ?? 0) > maxRoomWaitMs ? "cold" : undefined;
 }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -44,6 +44,10 @@
     readonly name: string;
     /** Maximum number of connections to each endpoint from all hosts together. */
     readonly maxConnections: number;
+    /** Time for which an endpoint is slow after its start, in milliseconds; absent if it never is. */
+    readonly coldStartMs?: number;
+    /** Requests a second that a slow endpoint is meant to get from all hosts together; absent if there is no bound. */
+    readonly coldPerSecond?: number;
 }
 
 /** One version of the policy. */
--- a/src/platform/documents.test.ts
+++ b/src/platform/documents.test.ts
@@ -8,7 +8,7 @@
     version: "v1",
     slots: 2,
     state: "ready",
-    cold_remaining_ms: 0,
+    cold_remaining_ms: 1_500,
     db_role: "replica",
     sequence: 4,
     born: 17,
@@ -26,7 +26,24 @@
             primary: false,
             sequence: 4,
             born: 17,
+            coldRemainingMs: 1_500,
         });
+        const withoutCold = JSON.stringify({ ...entry, cold_remaining_ms: undefined });
+        const parsed = documents.parseEndpoint("servers/i-7", withoutCold)._unsafeUnwrap();
+        chai.expect(parsed).to.not.have.property("coldRemainingMs");
+    });
+
+    it("parses the bound on requests to cold endpoints; a rate of 0 is none", () => {
+        const group = (cold: object) =>
+            documents.parsePolicy(JSON.stringify({ version: 1, routes: [], services: [{ name: "ledger", ...cold }] }))
+                ._unsafeUnwrap().groups.get("ledger");
+        chai.expect(group({ cold_start_s: 8, cold_per_s: 20 })).to.deep.equal({
+            name: "ledger",
+            maxConnections: 16,
+            coldStartMs: 8_000,
+            coldPerSecond: 20,
+        });
+        chai.expect(group({ cold_start_s: 8, cold_per_s: 0 })).to.deep.equal({ name: "ledger", maxConnections: 16 });
     });
 
     const invalidEntries: readonly string[] = [
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -35,7 +35,13 @@
 const configurationSchema = z.object({
     version: z.number().int().min(0),
     routes: z.array(routeSchema),
-    services: z.array(z.object({ name, max_connections: z.number().int().min(1).default(16) })).default([]),
+    services: z.array(z.object({
+        name,
+        max_connections: z.number().int().min(1).default(16),
+        cold_start_s: z.number().min(0).default(0),
+        /** Requests a second; 0: no bound. */
+        cold_per_s: z.number().min(0).default(0),
+    })).default([]),
     limits: z.object({ tx_idle_ms: z.number().min(0).default(0) }).default({ tx_idle_ms: 0 }),
     tenants: z.array(z.object({
         name,
@@ -72,7 +78,13 @@
         routes: new Map(value.routes.map(route => [route.hostname, convertRoute(route)])),
         groups: new Map(value.services.map(service => [
             service.name,
-            { name: service.name, maxConnections: service.max_connections },
+            {
+                name: service.name,
+                maxConnections: service.max_connections,
+                ...service.cold_per_s > 0
+                    ? { coldStartMs: service.cold_start_s * 1_000, coldPerSecond: service.cold_per_s }
+                    : {},
+            },
         ])),
         organisations: new Map(value.tenants.map(tenant => [
             tenant.name,
@@ -95,6 +107,7 @@
     slots: z.number().int().min(1),
     state: z.enum(["ready", "draining"]),
     db_role: z.enum(["primary", "replica"]),
+    cold_remaining_ms: z.number().optional(),
     born: z.number().int().default(0),
     sequence: z.number().default(0),
 });
@@ -111,5 +124,6 @@
         primary: value.db_role === "primary",
         born: value.born,
         sequence: value.sequence,
+        ...value.cold_remaining_ms === undefined ? {} : { coldRemainingMs: value.cold_remaining_ms },
     }));
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -134,6 +134,7 @@
     [failure.Code.outsideHomes, "BUSY"],
     [failure.Code.transactionLost, "ABORTED"],
     [failure.Code.replicaBehind, "LAGGING"],
+    [failure.Code.endpointCold, "BUSY"],
     [failure.Code.readOnly, "READONLY"],
     [failure.Code.accessDenied, "UNAUTH"],
     [failure.Code.keyWithdrawn, "UNAUTH"],
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -10,17 +10,18 @@
 import * as lifecycles from "../daemon/lifecycle.js";
 import type * as caller from "../ports/caller.js";
 import type * as network from "../ports/network.js";
-import type * as runtime from "../ports/runtime.js";
-import type * as store from "../ports/store.js";
 import * as activities from "./activity.js";
-import * as callerDrain from "./callerdrain.js";
+import type * as callerDrain from "./callerdrain.js";
+import * as callerServices from "./callerservice.js";
 import * as clusterViews from "./clusterview.js";
+import * as coldGates from "./coldgate.js";
 import * as coordinators from "./coordinator.js";
 import type * as evacuationViews from "./evacuations.js";
 import * as eventLogs from "./events.js";
 import * as executors from "./executor.js";
 import * as failoverLocks from "./failoverlock.js";
 import * as gaugeReader from "./gauges.js";
+import type * as hosts from "./host.js";
 import * as id from "./identifiers.js";
 import * as logins from "./login.js";
 import * as messages from "./messages.js";
@@ -35,32 +36,10 @@
 import * as readingSchedules from "./readingschedule.js";
 import * as replacers from "./replacement.js";
 import * as restorers from "./restoration.js";
-import type * as settingsFile from "./settings.js";
+import * as settingsFile from "./settings.js";
 import * as storeSyncs from "./storesync.js";
 import * as transactions from "./transactions.js";
 
-/** What the host needs from its process. */
-export interface Environment {
-    readonly settings: settingsFile.Settings;
-    readonly clock: runtime.HostClock;
-    readonly log: runtime.Log;
-    /** Creates the platform, which reports the result of every call to `count`, and the era of the store to `era`. */
-    platform(count: (kind: string, result: string) => void, era: store.Era): platforms.Platform;
-    random(): number;
-    /** Identifies this process; a restarted host has another value. */
-    readonly incarnation: string;
-}
-
-/** An assembled host. */
-export interface Host {
-    start(): Promise<void>;
-    /** Drains callers, deregisters from the store, and closes. */
-    stop(): Promise<void>;
-    close(): Promise<void>;
-    ready(): boolean;
-    readonly events: eventLogs.EventLog;
-}
-
 /**
  * Age up to which a proof of the records is valid: three polls of the store, of which one may be lost. A replacement of
  * a primary waits at most this long for hosts that can't be reached.
@@ -74,7 +53,7 @@
 const outageGapMs = 2_500;
 
 /** Assembles a host. Nothing runs until `start` is called. */
-export function createHost(environment: Environment): Host {
+export function createHost(environment: hosts.Environment): hosts.Host {
     const { settings, clock, log } = environment;
     const container = new inversify.Container();
     const lifecycle = lifecycles.createLifecycle(log);
@@ -91,8 +70,6 @@
     let refusesLogins = false;
     let stopTasks: (() => void) | undefined;
     let peerServer: grpc.Server | undefined;
-    let readiness: { close(): void } | undefined;
-    let metricsServer: { close(): void } | undefined;
     const era = storeEras.createStoreEra({
         now: clock.now,
         onRestored(next, previous) {
@@ -117,7 +94,12 @@
         leaderships.createLeadership({ maxProofAgeMs, graceMs: handoverGraceMs }),
     );
     container.bind(id.directory).toConstantValue(directories.createDirectory({ missingGraceMs, outageGapMs }));
-    container.bind(id.limiter).toConstantValue(limiters.createLimiter());
+    container.bind(id.limiter).toConstantValue(
+        limiters.createLimiter({
+            tolerance: settingsFile.toleranceOf(settings),
+            hearsAllDirectly: () => peers().cellCount() === 1,
+        }),
+    );
     container.bind(id.peers).toDynamicValue(() =>
         gossip.createPeers({
             self: () => self,
@@ -137,7 +119,7 @@
             store: platform().store,
             era,
             layout: platform().storeLayout,
-            directory: directory(),
+            directory: coldGate().watch(directory()),
             evacuations: evacuations(),
             clock,
             events: events(),
@@ -200,6 +182,7 @@
             dialer: platform().dialer,
             queryStatus: async endpoint =>
                 (await container.get<probers.Prober>(id.prober).statuses([endpoint])).get(endpoint.id),
+            coldGate: coldGate(),
             random: environment.random,
             self: () => self,
             peers,
@@ -208,6 +191,17 @@
             onChange: () => readinessState.report(),
         })
     ).inSingletonScope();
+    container.bind(id.coldGate).toDynamicValue(() =>
+        coldGates.createColdGate({
+            ...common(),
+            self: settings.id,
+            tolerance: settingsFile.coldToleranceOf(settings),
+            directory: directory(),
+            peers,
+            fencingToken: () => failoverLock().fencingToken(),
+            noClockJumpSince: sinceMs => clusterView().noClockJumpSince(sinceMs),
+        })
+    ).inSingletonScope();
     container.bind(id.failoverLock).toConstantValue(
         failoverLocks.createHeldLock({ clock, store: () => platform().store, storeSync: () => storeSync() }),
     );
@@ -246,25 +240,32 @@
     ).inSingletonScope();
     container.bind(id.login).toDynamicValue(() =>
         logins.createLogin({
-            clock,
-            events: events(),
+            ...common(),
             metrics: activities.combine(metrics(), activity),
-            executor: executors.createExecutor({ clock, events: events() }),
-            transactions: transactions.createTransactions({ clock, events: events() }),
+            executor: executors.createExecutor(common()),
+            transactions: transactions.createTransactions(common()),
             limiter: limiter(),
             // A host that doesn't know the evacuations yet answers like one without configuration.
             policy: () => (evacuations().known() ? storeSync().policy() : policies.empty),
             group: name => clusterView().group(name),
-            checkSuspension: () => clusterView().checkSuspension(),
             refusesLogins: () => refusesLogins,
         })
     ).inSingletonScope();
 
+    /** Options that the parts which serve callers have in common. */
+    const common = () => ({
+        clock,
+        events: events(),
+        metrics: metrics(),
+        policy: () => storeSync().policy(),
+        checkSuspension: () => clusterView().checkSuspension(),
+    });
     const events = (): eventLogs.EventLog => container.get(id.events);
     const metrics = (): metricsRegistry.Metrics => container.get(id.metrics);
     const platform = (): platforms.Platform => container.get(id.platform);
     const leadership = (): leaderships.Leadership => container.get(id.leadership);
     const directory = (): directories.Directory => container.get(id.directory);
+    const coldGate = (): coldGates.ColdGate => container.get(id.coldGate);
     const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
@@ -293,6 +294,7 @@
         era,
         events: events(),
         clusterView: clusterView(),
+        coldGate: coldGate(),
         storeSync: storeSync(),
         storeNews: reading().news,
         peers: peers(),
@@ -348,34 +350,26 @@
         },
         close: () => stopTasks?.(),
     });
-    lifecycle.add({
-        name: "callers",
-        async start() {
-            readiness = await platform().listenReadiness(readinessState.ready);
-            callers = await platform().listenCallers(container.get<caller.Login>(id.login));
-            metricsServer = await metricsRegistry.listen(settings.callers.host, settings.metricsPort, metrics());
+    lifecycle.add(callerServices.createCallerService({
+        settings,
+        clock,
+        platform,
+        metrics,
+        login: () => container.get<caller.Login>(id.login),
+        ready: readinessState.ready,
+        onDrain() {
+            stopping = true;
+            self = { ...self, leaving: true };
+            readinessState.report();
         },
-        drain: () =>
-            callerDrain.drain({
-                clock,
-                graceMs: settings.graceMs,
-                callers: () => callers,
-                onStart() {
-                    stopping = true;
-                    self = { ...self, leaving: true };
-                    readinessState.report();
-                },
-                refuseLogins() {
-                    refusesLogins = true;
-                },
-            }),
-        close() {
-            callers?.close();
-            clusterView().groups().forEach(group => group.close());
-            readiness?.close();
-            metricsServer?.close();
+        refuseLogins() {
+            refusesLogins = true;
         },
-    });
+        onClose: () => clusterView().groups().forEach(group => group.close()),
+        onListening(listener) {
+            callers = listener;
+        },
+    }));
 
     return {
         ready: readinessState.ready,
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -11,6 +11,7 @@
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as store from "../ports/store.js";
+import type * as coldGates from "./coldgate.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import type * as coordinators from "./coordinator.js";
 import type * as endpointChoices from "./endpointchoice.js";
@@ -20,6 +21,7 @@
 import * as fleets from "./fleet.js";
 import * as databaseGroups from "./group.js";
 import * as homesChecks from "./homescheck.js";
+import * as localDigests from "./localdigest.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
 import type * as registry from "./registry.js";
@@ -43,6 +45,7 @@
     readonly spillover: endpointChoices.SpilloverLimits;
     /** Queries the status of an endpoint, outside of any request; undefined without one. */
     queryStatus(endpoint: directories.Endpoint): Promise<connections.Status | undefined>;
+    readonly coldGate: coldGates.ColdGate;
     /** A random number in [0, 1). */
     random(): number;
     self(): messages.Member;
@@ -60,6 +63,8 @@
      * called before ages are used.
      */
     checkSuspension(): void;
+    /** True when no suspension or clock jump was detected since the given time. */
+    noClockJumpSince(sinceMs: number): boolean;
     /** Returns the database group of that name, created if necessary. */
     group(name: string): databaseGroups.Group;
     groups(): readonly databaseGroups.Group[];
@@ -97,8 +102,6 @@
      * has it.
      */
     confirmListing(source: messages.Member, hash: string, requestedAtMs: number): void;
-    /** True when no clock jump or suspension of this host was detected since the given time. */
-    noClockJumpSince(sinceMs: number): boolean;
 }
 
 /** Age of the endpoint listing from which another host is asked for a newer one. */
@@ -108,11 +111,6 @@
 /** Connections per endpoint reserved for the probe of the failover coordinator. */
 const reservedConnections = 1;
 
-/** Rounds an age up, so that nothing looks newer than it is; undefined if there is none. */
-function wholeMs(ageMs: number | undefined): number | undefined {
-    return ageMs === undefined || !Number.isFinite(ageMs) ? undefined : Math.ceil(ageMs);
-}
-
 /** Creates an empty view. */
 export function createClusterView(options: Options): ClusterView {
     const {
@@ -121,6 +119,7 @@
         leadership,
         directory,
         limiter,
+        coldGate,
         peers,
         storeSync,
         coordinator,
@@ -175,7 +174,8 @@
             name,
             failureDomain: options.failureDomain,
             clock,
-            dialer: options.dialer,
+            dialer: coldGate.guard(options.dialer),
+            coldState: coldGate.state,
             events,
             leadership,
             noClockJumpSince,
@@ -252,6 +252,9 @@
         }
         peers().register(snapshot.hosts);
         coordinator().observe(snapshot);
+        if (snapshot.failoverLock !== undefined) {
+            coldGate.observeLockHolder([snapshot.failoverLock.fencingToken, snapshot.failoverLock.holder]);
+        }
         evaluateProof();
     }
 
@@ -275,54 +278,6 @@
         }
     }
 
-    /** Statements and connections of this host by endpoint; idle endpoints are left out. */
-    function endpointUsage(): messages.Digest["endpointUsage"] {
-        const usage = [...groups.values()].flatMap(entry => {
-            const load = entry.loadByEndpoint();
-            return Object.entries(entry.connectionsByEndpoint()).map(([id, connections]) =>
-                [id, [load[id] ?? 0, connections]] as const
-            );
-        });
-        return Object.fromEntries(usage.filter(([, [load, connections]]) => load > 0 || connections > 0));
-    }
-
-    function localDigest(): fleets.LocalDigest {
-        const nowMs = clock.now();
-        const proofAgeMs = leadership.proofAgeMs(nowMs);
-        return {
-            configurationVersion: storeSync().policy().version,
-            storeEra: options.era.current(),
-            primaryRecords: leadership.all(),
-            proofAgeMs: wholeMs(proofAgeMs),
-            storeResponseAgeMs: wholeMs(storeSync().storeResponseAgeMs()),
-            endpointListing: storeSync().endpointListing.summary(nowMs),
-            positionSamples: [...groups.values()].flatMap(entry => {
-                const newest = entry.newestSample();
-                return newest === undefined
-                    ? []
-                    : [{
-                        group: entry.name,
-                        position: newest.position,
-                        ageMs: Math.ceil(nowMs - newest.requestedAtMs),
-                    }];
-            }),
-            primaryContacts: leadership.all().flatMap(record => {
-                const { answerAgeMs, failingForMs } = groups.get(record.group)?.primaryContact()
-                    ?? {};
-                return [{
-                    group: record.group,
-                    epoch: record.epoch,
-                    answerAgeMs: wholeMs(answerAgeMs),
-                    failingForMs: wholeMs(failingForMs),
-                }];
-            }),
-            organisationUsage: limiter.usage(nowMs),
-            endpointUsage: endpointUsage(),
-            endpointOutcomes: Object.assign({}, ...[...groups.values()].map(entry => entry.choice.ownOutcomes())),
-            evacuations: options.evacuations.announced(),
-        };
-    }
-
     function storeRestored(): void {
         // The coordinator goes first: whether it held the lock depends on the registration that is dropped next.
         coordinator().storeRestored();
@@ -339,6 +294,9 @@
         }
         options.evacuations.offer(digest.evacuations);
         digest.primaryRecords.forEach(applyRecord);
+        if (digest.lockHolder !== undefined) {
+            coldGate.observeLockHolder(digest.lockHolder);
+        }
         if (requestedAtMs !== undefined && noClockJumpSince(requestedAtMs)) {
             digest.positionSamples.forEach(sample =>
                 groups.get(sample.group)?.addSample(sample.position, requestedAtMs - sample.ageMs)
@@ -355,12 +313,13 @@
 
     return {
         checkSuspension,
+        noClockJumpSince,
         group,
         configurationChanged,
         applyRecord,
         applyAndFence,
         applyStoreContents,
-        localDigest,
+        localDigest: () => localDigests.read({ ...options, storeSync: storeSync(), groups: [...groups.values()] }),
         mergeDigest,
         evaluateProof,
         storeRestored,
@@ -382,7 +341,6 @@
                 undefined,
             );
         },
-        noClockJumpSince,
         fetchConfiguration: source => void configurationFetcher.fetch(source),
         confirmListing(source, hash, requestedAtMs) {
             const listing = storeSync().endpointListing;
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -13,7 +13,9 @@
 import type * as failoverLocks from "./failoverlock.js";
 import type * as groups from "./group.js";
 import type * as messages from "./messages.js";
-import * as peers from "./peers.js";
+import type * as peers from "./peers.js";
+import * as primaryContacts from "./primarycontacts.js";
+import * as primaryProbes from "./primaryprobe.js";
 import type * as probers from "./prober.js";
 import type * as schedules from "./readingschedule.js";
 import * as registry from "./registry.js";
@@ -81,15 +83,13 @@
     /** True while a replacement or the creation of the record runs. */
     replacing: boolean;
     retryAtMs: number;
-    /** True when the recorded primary reports that it is a replica. */
-    demoted: boolean;
-    probing: boolean;
 }
 
 /** Creates a failover coordinator; it competes for the lock once started. */
 export function createFailoverCoordinator(options: Options): FailoverCoordinator {
     const { clock, events, self, store: client, replacer, lock } = options;
     const states = new Map<string, GroupState>();
+    const primaryProbe = primaryProbes.createPrimaryProbe(options);
     const attempts = new Set<Promise<boolean>>();
     let lockFreeSinceMs: number | undefined;
     let acquiring = false;
@@ -112,36 +112,11 @@
         if (known !== undefined) {
             return known;
         }
-        const created = { replacing: false, retryAtMs: 0, demoted: false, probing: false };
+        const created = { replacing: false, retryAtMs: 0 };
         states.set(group, created);
         return created;
     }
 
-    /** Queries the status of the primary. The position in its reply also serves as a new sample for all hosts. */
-    async function probe(group: groups.Group, record: leadership.Record): Promise<void> {
-        const state = stateOf(group.name);
-        const endpoint = options.endpoints(group.name).find(candidate => candidate.id === record.primary);
-        if (endpoint === undefined || state.probing || !options.relocation.mayContact(endpoint)) {
-            return;
-        }
-        state.probing = true;
-        const requestedAtMs = clock.now();
-        const status = await options.prober.send(endpoint, { kind: "status" });
-        state.probing = false;
-        if (status === undefined) {
-            group.recordFailure(endpoint.id, requestedAtMs, { timedOut: false, message: "no answer to a probe" });
-            return;
-        }
-        group.recordAnswer(endpoint.id);
-        if (status === "busy") {
-            return;
-        }
-        state.demoted = !status.primary;
-        if (status.primary && group.isPrimary(endpoint.id)) {
-            group.addSample(status.received, requestedAtMs);
-        }
-    }
-
     /** True if another host has answered a poll that was sent since then, or if no other host is registered. */
     function isCorroborated(sinceMs: number): boolean {
         const others = options.peers.all().filter(peer => peer.registered && !peer.member.leaving);
@@ -170,10 +145,10 @@
             unlisted: endpoint === undefined,
             draining: endpoint?.draining ?? false,
             misplaced: options.relocation.reasonToMove(group.name, record.primary),
-            demoted: stateOf(group.name).demoted,
+            demoted: primaryProbe.isDemoted(group.name),
             failing: replacer.sinceReplacementMs(group.name) >= failingHoldOffMs && isFailing(group, record),
             own,
-            others: peers.contactsWithPrimary(options.peers.live(), record, clock.now()),
+            others: primaryContacts.contactsWithPrimary(options.peers.live(), record, clock.now()),
             corroborated: isCorroborated(clock.now() - (own.failingForMs ?? 0)),
         });
         if (decision.reason === "isolated" && (own.failingForMs ?? 0) >= isolationTimeoutMs) {
@@ -192,7 +167,7 @@
         const done = await running;
         attempts.delete(running);
         state.replacing = false;
-        state.demoted = false;
+        primaryProbe.forgetDemotion(group.name);
         if (!done) {
             state.retryAtMs = clock.now() + retryPauseMs;
             events.emit("promotionFailed", { group: group.name });
@@ -216,7 +191,7 @@
             void attempt(group, () => replacer.replace(group, "unfinished"));
             return;
         }
-        void probe(group, record);
+        void primaryProbe.probe(group, record);
         const decision = decide(group, record);
         if (decision.replace) {
             void attempt(group, () => replacer.replace(group, decision.reason));
--- a/src/proxy/digestcodec.ts
+++ b/src/proxy/digestcodec.ts
@@ -132,6 +132,7 @@
                 endpoints: endpoints.all(),
                 groups: groups.all(),
                 ...(digest.evacuations === undefined ? {} : { evacuations: digest.evacuations }),
+                lockHolder: digest.lockHolder ?? null,
             };
             const nextHeaderText = JSON.stringify(header);
             if (nextHeaderText !== headerText) {
@@ -218,6 +219,7 @@
         self: header.self,
         configurationVersion: header.version,
         storeEra: header.era < 0 ? undefined : header.era,
+        ...header.lockHolder ? { lockHolder: header.lockHolder } : {},
         primaryRecords: header.tenures,
         knownMembers: header.known,
         evacuations: header.evacuations,
--- a/src/proxy/endpointchoice.ts
+++ b/src/proxy/endpointchoice.ts
@@ -37,6 +37,8 @@
     /** This host's view of an endpoint; undefined if it has none. */
     findView(endpoint: string): endpoints.EndpointView | undefined;
     distanceTo(failureDomain: string): distances.Distance;
+    /** Whether an endpoint is cold, and when it has room for a request. */
+    coldState(endpoint: string): placement.ColdState;
     /** True while an endpoint whose evacuation was taken back has had its share of the reads. */
     isRationed(listed: directory.Endpoint): boolean;
     isPrimary(endpoint: string): boolean;
@@ -109,6 +111,7 @@
             load: inputs.load + options.otherHostsLoad(listed.id),
             concurrency: listed.slots,
             rationed: options.isRationed(listed),
+            ...options.coldState(listed.id),
             trusted: ejector.mayServe(listed.id, clock.now()),
             failureRate: evidence.failureRate(outcomes(listed.id)),
             distance: options.distanceTo(listed.failureDomain),
--- a/src/proxy/executor.ts
+++ b/src/proxy/executor.ts
@@ -178,14 +178,8 @@
                         await clock.sleep(statements.retryPauseMs);
                         continue;
                     }
-                    return neverthrow.err(
-                        statements.reportFailure(
-                            isFinal ? selected.error : lastFailure ?? selected.error,
-                            statement,
-                            context,
-                            options,
-                        ),
-                    );
+                    const cause = isFinal ? selected.error : lastFailure ?? selected.error;
+                    return neverthrow.err(statements.reportFailure(cause, statement, context, options));
                 }
                 const { endpoint, minPosition, sampleAgeMs, left, rejected } = selected.value;
                 tried.add(endpoint);
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -7,10 +7,11 @@
 import * as failure from "../core/failure.js";
 import type * as homes from "../core/homes.js";
 import type * as leadership from "../core/leadership.js";
-import type * as placement from "../core/placement.js";
+import * as placement from "../core/placement.js";
 import type * as policies from "../core/policy.js";
-import * as positions from "../core/position.js";
+import type * as positions from "../core/position.js";
 import type * as promotion from "../core/promotion.js";
+import * as readPositions from "../core/readposition.js";
 import * as samples from "../core/samples.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -20,7 +21,9 @@
 import type * as evacuations from "./evacuations.js";
 import type * as events from "./events.js";
 import type * as pools from "./pool.js";
+import * as primaryWaiters from "./primarywaiters.js";
 import * as sampleQueries from "./samplequery.js";
+import * as workInProgresses from "./workinprogress.js";
 
 type Result<T> = neverthrow.Result<T, failure.Failure>;
 
@@ -43,12 +46,8 @@
     readonly evacuations: evacuations.Evacuations;
     /** Queries the status of an endpoint; undefined without one. */
     queryStatus(endpoint: directory.Endpoint): Promise<connections.Status | undefined>;
-}
-
-/** A commit acknowledged to a session. */
-export interface Commit {
-    readonly position: positions.Position;
-    readonly committedMs: number;
+    /** Whether an endpoint is cold, and when it has room for a request. */
+    coldState(endpoint: string): placement.ColdState;
 }
 
 /** What a statement requires of the endpoint that runs it. */
@@ -60,7 +59,7 @@
     /** Time by which the statement should be answered, earlier than its deadline. */
     readonly targetMs: number;
     /** The session's newest commit. */
-    readonly lastCommit: Commit | undefined;
+    readonly lastCommit: readPositions.Commit | undefined;
     readonly organisation: string;
     /** Regions in which the statement may run. */
     readonly homes: homes.Homes;
@@ -157,13 +156,8 @@
 
 /** Must exceed the maximum staleness that any route allows. */
 const sampleRetentionMs = 10_000;
-/** Subtracted from the allowed staleness, for the time from the caller's first byte until this host reads it. */
-const arrivalMarginMs = 40;
 /** Delay suggested to callers before they retry. */
 const retryAfterMs = 150;
-/** Interval at which `waitUntilIdle` checks for operations in progress. */
-const idlePollMs = 5;
-
 /** Creates a group without samples; views of its endpoints are created when they are needed. */
 export function createGroup(options: Options): Group {
     const { clock, name, leadership } = options;
@@ -173,8 +167,8 @@
         primary: () => leadership.find(name)?.primary,
     });
     const recentSamples = samples.createSamples(sampleRetentionMs);
-    const waiters = new Set<() => void>();
-    const workInProgress = new Map<string, number>();
+    const waiters = primaryWaiters.createWaiters(clock, hasPrimary);
+    const workInProgress = workInProgresses.createWorkInProgress(clock);
     const choice = endpointChoices.createEndpointChoice({
         ...options,
         group: name,
@@ -211,6 +205,11 @@
     const roundTripToDomainMs = (failureDomain: string): number =>
         distances.roundTripMs(options.failureDomain, failureDomain, options.regionOf);
 
+    function noRoom(roomInMs: number): neverthrow.Result<never, failure.Failure> {
+        const message = `The endpoints of ${name} that could serve the statement are starting and have no room.`;
+        return neverthrow.err(failure.create(failure.Code.endpointCold, name, message, Math.ceil(roomInMs)));
+    }
+
     function hasPrimary(): boolean {
         const record = leadership.find(name);
         return record !== undefined && !record.changing && leadership.isTrusted(clock.now());
@@ -226,33 +225,8 @@
         return failure.create(failure.Code.noPrimary, name, `The primary of ${name} ${state}.`, retryAfterMs);
     }
 
-    /**
-     * The minimum position for a read, with its age; undefined when only the primary can serve it. A sample taken no
-     * longer ago than the allowed staleness covers every commit that the read must see, apart from the session's own.
-     * The oldest such sample is taken, because it is the one that most replicas have applied.
-     */
-    function minReadPosition(request: PlacementRequest): placement.MinimumPosition | undefined {
-        if (request.consistency.kind === "primary") {
-            return undefined;
-        }
-        const oldestAllowedMs = request.arrivedMs - request.consistency.maxAgeMs + arrivalMarginMs;
-        const oldest = recentSamples.oldestSince(oldestAllowedMs);
-        if (oldest === undefined) {
-            return undefined;
-        }
-        const lastCommit = request.consistency.kind === "session" ? request.lastCommit : undefined;
-        const newest = recentSamples.newest();
-        // A commit of an earlier term that survived the failover is below every position of the later term, so any
-        // sample of the later term covers it.
-        const superseded = lastCommit !== undefined && newest !== undefined
-            && newest.position.term > lastCommit.position.term;
-        const sample = superseded && oldest.position.term <= lastCommit.position.term ? newest : oldest;
-        const ageMs = clock.now() - sample.requestedAtMs;
-        if (lastCommit === undefined || superseded || positions.compare(lastCommit.position, sample.position) <= 0) {
-            return { position: sample.position, ageMs };
-        }
-        return { position: lastCommit.position, ageMs: Math.min(ageMs, clock.now() - lastCommit.committedMs) };
-    }
+    const minReadPosition = (request: PlacementRequest): placement.MinimumPosition | undefined =>
+        readPositions.minimum(request, recentSamples, clock.now());
 
     function placePrimary(eligible: decisions.Eligibility): Result<Placement> {
         const record = leadership.find(name);
@@ -269,6 +243,10 @@
             return neverthrow.err(decisions.refusal(name, reason, "primary"));
         }
         view(listed);
+        const { roomInMs } = options.coldState(listed.id);
+        if (roomInMs > placement.maxRoomWaitMs) {
+            return noRoom(roomInMs);
+        }
         return neverthrow.ok({
             endpoint: record.primary,
             primary: true,
@@ -317,6 +295,9 @@
                 organisation: request.organisation,
                 targetMs: request.targetMs,
             });
+            if (chosen.endpoint === undefined && chosen.roomInMs !== undefined) {
+                return noRoom(chosen.roomInMs);
+            }
             if (chosen.endpoint === undefined) {
                 const message = `No endpoint of ${name} can serve the read.`;
                 return neverthrow.err(failure.create(failure.Code.replicaBehind, name, message, retryAfterMs));
@@ -345,37 +326,10 @@
         minStatementMs: endpoint => views.get(endpoint)?.minStatementMs() ?? 0,
         isPrimary: endpoint => leadership.isPrimary(name, endpoint, clock.now()),
         mayAcknowledge: endpoint => leadership.mayAcknowledge(name, endpoint, clock.now()),
-        beginWork(endpoint) {
-            workInProgress.set(endpoint, (workInProgress.get(endpoint) ?? 0) + 1);
-            return () => {
-                workInProgress.set(endpoint, (workInProgress.get(endpoint) ?? 1) - 1);
-            };
-        },
-        async waitUntilIdle(endpoint, timeoutMs) {
-            const deadlineMs = clock.now() + timeoutMs;
-            while ((workInProgress.get(endpoint) ?? 0) > 0 && clock.now() < deadlineMs) {
-                await clock.sleep(idlePollMs);
-            }
-        },
-        async waitForPrimary(deadlineMs) {
-            while (!hasPrimary() && clock.now() < deadlineMs) {
-                await new Promise<void>(resolve => {
-                    const finish = (): void => {
-                        waiters.delete(finish);
-                        stop();
-                        resolve();
-                    };
-                    const stop = clock.after(deadlineMs - clock.now(), finish);
-                    waiters.add(finish);
-                });
-            }
-            return hasPrimary();
-        },
-        notifyWaiters() {
-            if (hasPrimary()) {
-                [...waiters].forEach(finish => finish());
-            }
-        },
+        beginWork: workInProgress.begin,
+        waitUntilIdle: workInProgress.waitUntilIdle,
+        waitForPrimary: waiters.wait,
+        notifyWaiters: waiters.notify,
         newestSample: () => recentSamples.newest(),
         primaryContact: () =>
             views.get(leadership.find(name)?.primary ?? "")?.contact()
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -53,6 +53,8 @@
     readonly cellSummaries: readonly CellSummary[];
     /** Evacuated failure domains; undefined if the host doesn't know them. */
     readonly evacuations?: evacuation.EvacuationSet;
+    /** The holder of the failover lock: its fencing token and the host's id; absent if the sender has not heard of any. */
+    readonly lockHolder?: readonly [token: number, host: string] | undefined;
 }
 
 /** The state of all hosts of a cell together, as seen by one of them. */
@@ -115,6 +117,8 @@
         revision: z.number(),
         failureDomains: z.array(z.string()).readonly(),
     }).readonly().optional(),
+    /** The holder of the failover lock: its fencing token and the host's id. */
+    lockHolder: z.tuple([z.number(), z.string()]).readonly().nullish(),
 }).readonly();
 /** The part of a digest that rarely changes, and the tables of names that an encoded digest refers to by index. */
 export type DigestHeader = z.infer<typeof digestHeader>;
@@ -170,6 +174,7 @@
     primary: z.boolean(),
     born: z.number(),
     sequence: z.number(),
+    coldRemainingMs: z.number().optional(),
 }).readonly();
 
 const empty = z.object({}).readonly();
@@ -247,6 +252,16 @@
     },
     /** Returns what the host has learnt from the store, once there is something that the sender doesn't know. */
     news: method("news", newsQuestion, newsAnswer),
+    /** Issues permits for requests to a cold endpoint. */
+    permit: method(
+        "permit",
+        z.object({
+            endpoint: z.string(),
+            immediate: z.number().int().min(1),
+            held: z.number().int().min(0),
+        }).readonly(),
+        z.object({ granted: z.boolean(), retryAfterMs: z.number() }).readonly(),
+    ),
     /** Returns the endpoint listing to a host that doesn't read the store. */
     catalogue: {
         ...method(
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -3,6 +3,7 @@
 import * as prometheus from "prom-client";
 import type * as failure from "../core/failure.js";
 import type * as caller from "../ports/caller.js";
+import type * as coldGates from "./coldgate.js";
 import type * as sessions from "./session.js";
 
 /** Values of the gauges about what this host has learnt from the store. */
@@ -34,7 +35,7 @@
 }
 
 /** Metrics of one host. */
-export interface Metrics extends sessions.RequestMetrics {
+export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics {
     /** Counts a call to the platform. */
     countPlatformCall(kind: string, result: string): void;
     /** Counts that the store came back from an older copy. */
@@ -83,6 +84,12 @@
         labelNames: ["kind", "result"],
         registers,
     });
+    const permits = new prometheus.Counter({
+        name: "hyssophatch_permits_total",
+        help: "Requests for permits to send to cold endpoints, by result.",
+        labelNames: ["result"],
+        registers,
+    });
     const restorations = new prometheus.Counter({
         name: "hyssophatch_store_restorations_total",
         help: "Times that the store came back from an older copy of its data.",
@@ -127,6 +134,7 @@
             refused.inc({ organisation, code: String(code) });
             latency.observe({ database, outcome: "refused" }, elapsedMs / 1_000);
         },
+        permitAsked: result => permits.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
         countNews: result => news.inc({ result }),
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -4,6 +4,7 @@
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as clusterViews from "./clusterview.js";
+import type * as coldGates from "./coldgate.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
@@ -13,6 +14,7 @@
 /** Components that the handlers use. */
 export interface Options {
     readonly clock: runtime.Clock;
+    readonly coldGate: coldGates.ColdGate;
     readonly peers: gossip.Peers;
     readonly clusterView: clusterViews.ClusterView;
     readonly storeSync: storeSyncs.StoreSync;
@@ -33,6 +35,10 @@
             messages.peer.configuration,
             async ({ offset }) => neverthrow.ok(configurationSource.part(offset)),
         ),
+        grpc.handle(
+            messages.peer.permit,
+            async ({ endpoint, ...request }) => neverthrow.ok(options.coldGate.issue(endpoint, request)),
+        ),
         grpc.handle(messages.peer.catalogue, async () => {
             const { endpointListing } = storeSync;
             return neverthrow.ok({
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -3,7 +3,6 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
-import type * as promotion from "../core/promotion.js";
 import type * as storeReading from "../core/storereading.js";
 import type * as rpc from "../ports/messages.js";
 import type * as network from "../ports/network.js";
@@ -11,6 +10,7 @@
 import * as digestCodec from "./digestcodec.js";
 import type * as events from "./events.js";
 import * as fleets from "./fleet.js";
+import * as holderLists from "./holderlist.js";
 import * as messages from "./messages.js";
 
 /** Settings of the gossip. */
@@ -95,31 +95,6 @@
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
 
-/** Time for which the list of hosts that may hold connections is used again; it is needed for each question of a pool. */
-const holderListIntervalMs = 100;
-/** How well hosts reach the primary of a record, by their digests. */
-export function contactsWithPrimary(
-    hosts: readonly fleets.Peer[],
-    record: leadership.Record,
-    nowMs: number,
-): readonly promotion.Contact[] {
-    return hosts.flatMap(peer => {
-        const contact = peer.digest?.primaryContacts.find(candidate =>
-            candidate.group === record.group && candidate.epoch === record.epoch
-        );
-        if (contact === undefined) {
-            return [];
-        }
-        // The time since the digest arrived is added to the age of the last answer, but not to the duration of a failure,
-        // which is known only up to the digest.
-        const { answerAgeMs, failingForMs } = contact;
-        return [{
-            answerAgeMs: answerAgeMs === undefined ? undefined : answerAgeMs + nowMs - peer.lastHeardMs,
-            failingForMs,
-        }];
-    });
-}
-
 /** Creates the gossip of a host that knows no others yet. */
 export function createPeers(options: Options): Peers {
     const { clock } = options;
@@ -133,8 +108,13 @@
     const isSuspected = fleets.createFailureDetector(clock);
     let stopRounds: (() => void) | undefined;
     let pollsInFlight = new Set<string>();
-    let holders: readonly string[] = [];
-    let holdersListedMs = -Infinity;
+    const connectionHolders = holderLists.createHolderList(
+        clock,
+        () => [
+            self.id,
+            ...[...peers.values()].flatMap(peer => peer.registered || !isSuspected(peer) ? [peer.member.id] : []),
+        ],
+    );
 
     function addPeer(member: messages.Member): fleets.PeerState {
         const existing = peers.get(member.id);
@@ -332,19 +312,6 @@
         return [...peers.values()].filter(peer => !isSuspected(peer));
     }
 
-    function connectionHolders(): readonly string[] {
-        if (clock.now() - holdersListedMs < holderListIntervalMs) {
-            return holders;
-        }
-        holdersListedMs = clock.now();
-        const others = [...peers.values()].filter(peer => peer.registered || !isSuspected(peer));
-        const next = [self.id, ...others.map(peer => peer.member.id)].sort();
-        if (next.length !== holders.length || next.some((id, index) => id !== holders[index])) {
-            holders = next;
-        }
-        return holders;
-    }
-
     return {
         live,
         all: () => [...peers.values()],
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -37,6 +37,10 @@
     readonly variables: SessionVariables;
     /** Time until which the request waits for a connection. */
     readonly deadlineMs: number;
+    /** Time by which the statement should be answered, earlier than its deadline. */
+    readonly targetMs: number;
+    /** Scheduling priority of the statement's route; 0 is the most urgent. */
+    readonly priority: number;
 }
 
 /** A connection checked out of the pool. */
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -22,7 +22,7 @@
         consistency: route.consistency,
         needsPrimary: mode === "write",
         arrivedMs,
-        targetMs: context.deadlineMs - route.statementTimeoutMs + route.latencyTargetMs,
+        targetMs: statements.targetMs(context),
         lastCommit,
         organisation,
         homes,
@@ -60,5 +60,11 @@
     const { organisation, variables } = context;
     // Without enough time left for the statement, a connection would only lead to a time-out during execution.
     const deadlineMs = context.deadlineMs - context.group.minStatementMs(placement.endpoint);
-    return pool.acquire({ organisation, variables, deadlineMs });
+    return pool.acquire({
+        organisation,
+        variables,
+        deadlineMs,
+        targetMs: statements.targetMs(context),
+        priority: context.route.priority,
+    });
 }
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -5,6 +5,7 @@
 import * as limiters from "../core/limiter.js";
 import type * as policies from "../core/policy.js";
 import type * as positions from "../core/position.js";
+import type * as readPositions from "../core/readposition.js";
 import type * as caller from "../ports/caller.js";
 import type * as runtime from "../ports/runtime.js";
 import * as access from "./access.js";
@@ -68,7 +69,7 @@
     const variables = new Map<string, string>();
     const prepared = new Map<string, PreparedStatement>();
     let block: TransactionBlock | undefined;
-    let lastCommit: (groups.Commit & { readonly group: string }) | undefined;
+    let lastCommit: (readPositions.Commit & { readonly group: string }) | undefined;
     let closed = false;
     let handling = false;
 
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -3,6 +3,10 @@
 import * as z from "zod";
 import * as settingsFile from "../adapters/settingsfile.js";
 import type * as failure from "../core/failure.js";
+import type * as limits from "../core/limits.js";
+import type * as permits from "../core/permits.js";
+
+const millisecondsPerSecond = 1_000;
 
 const address = z.string().regex(/^[^\s:]+:\d+$/, "An address must have the form HOST:PORT.").transform(text => {
     const separator = text.lastIndexOf(":");
@@ -41,6 +45,16 @@
     }).readonly().default({ targetFraction: 0.25, maxShare: 1 }),
     /** Port of the metrics endpoint, on the same interface as `callers`. */
     metricsPort: z.number().int().min(0).max(65_535).default(9_464),
+    /** Window in which the platform counts the operations of an organisation, in seconds. */
+    quotaWindowSeconds: z.number().positive().default(5),
+    /** Fraction by which an organisation may exceed its limit in a window. */
+    quotaOverage: z.number().min(0).default(0),
+    /** Operations beyond that by which it may exceed its limit in a window. */
+    quotaSlack: z.number().min(0).default(0),
+    /** Factor on the requests that the configuration allows a cold endpoint; without it there is no such bound. */
+    coldOverage: z.number().min(0).optional(),
+    /** Requests a second beyond that. */
+    coldSlack: z.number().min(0).default(0),
     /** Time from a shutdown request to the end of the process, in milliseconds. */
     graceMs: z.number().min(100).default(6_000),
     /**
@@ -54,6 +68,22 @@
 /** Settings of one host. */
 export type Settings = z.infer<typeof schema>;
 
+/** By how much a window of an organisation's operations may exceed its limit. */
+export function toleranceOf(settings: Settings): limits.Tolerance {
+    return {
+        windowMs: settings.quotaWindowSeconds * millisecondsPerSecond,
+        overage: settings.quotaOverage,
+        slack: settings.quotaSlack,
+    };
+}
+
+/** By how much the requests to a cold endpoint may exceed the configured ones; undefined: there is no bound. */
+export function coldToleranceOf(
+    { coldOverage, coldSlack }: Settings,
+): Pick<permits.Bound, "overage" | "slack"> | undefined {
+    return coldOverage === undefined ? undefined : { overage: coldOverage, slack: coldSlack };
+}
+
 /** Validates settings. */
 export function parse(input: unknown): neverthrow.Result<Settings, failure.Failure> {
     return settingsFile.parse(schema, input);
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -3,6 +3,7 @@
 import type * as homes from "../core/homes.js";
 import type * as policies from "../core/policy.js";
 import type * as positions from "../core/position.js";
+import type * as readPositions from "../core/readposition.js";
 import type * as caller from "../ports/caller.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -30,7 +31,7 @@
     readonly homes: homes.Homes;
     readonly variables: pools.SessionVariables;
     /** The session's newest commit in this group, which reads have to see. */
-    readonly lastCommit: groups.Commit | undefined;
+    readonly lastCommit: readPositions.Commit | undefined;
     /** Arrival time of the request, or of its transaction's BEGIN. */
     readonly arrivedMs: number;
     readonly deadlineMs: number;
@@ -58,6 +59,11 @@
     return context.deadlineMs - clock.now();
 }
 
+/** Time by which the statement should be answered. */
+export function targetMs({ deadlineMs, route }: Context): number {
+    return deadlineMs - route.statementTimeoutMs + route.latencyTargetMs;
+}
+
 /** True when enough time remains for a pause and another attempt. */
 export function canRetry(context: Context, clock: runtime.Clock): boolean {
     return remainingMs(context, clock) > retryPauseMs + minAttemptMs;
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -7,6 +7,7 @@
 import * as wire from "../../src/platform/wire.js";
 import type * as runtime from "../../src/ports/runtime.js";
 import * as assembly from "../../src/proxy/assembly.js";
+import type * as proxyHosts from "../../src/proxy/host.js";
 import * as registry from "../../src/proxy/registry.js";
 import * as settingsFile from "../../src/proxy/settings.js";
 import * as endpoints from "./endpoint.js";
@@ -26,6 +27,8 @@
     readonly workMs?: number;
     /** Limit of the first organisation; far above any test's load unless given. */
     readonly limit?: { readonly ratePerSecond: number; readonly burst: number };
+    /** Bound on the requests a second to endpoints that have just started; none unless given. */
+    readonly cold?: { readonly perSecond: number; readonly overage: number; readonly slack: number };
     readonly log?: runtime.Log;
     /** True for a store in which the product has not run before. */
     readonly emptyStore?: boolean;
@@ -41,7 +44,7 @@
 export interface World {
     readonly store: stores.Store;
     readonly endpoints: readonly endpoints.Endpoint[];
-    readonly hosts: readonly assembly.Host[];
+    readonly hosts: readonly proxyHosts.Host[];
     /** Promotions asked for: group, endpoint, holder and token. */
     readonly promotions: readonly (readonly [string, string, string, number])[];
     primary(): endpoints.Endpoint;
@@ -49,7 +52,7 @@
     /** Writes a new version of the operators' configuration. */
     configure(change: Readonly<Record<string, unknown>>): void;
     /** Lists the endpoints that run, as they would themselves. */
-    list(state?: Readonly<Record<string, string>>): void;
+    list(state?: Readonly<Record<string, string>>, report?: Readonly<Record<string, number>>): void;
     /** The operators' mark that evacuates a failure domain, and its removal. */
     evacuate(failureDomain: string): void;
     takeBack(failureDomain: string): void;
@@ -144,7 +147,7 @@
             route("stock", "read_your_writes"),
             route("catalogue", "bounded_staleness"),
         ],
-        services: [{ name: group, max_connections: 16, sync_replicas: 0 }],
+        services: [{ name: group, max_connections: 16, sync_replicas: 0, cold_per_s: options.cold?.perSecond }],
         limits: { tx_idle_ms: 1_000 },
         tenants: [
             {
@@ -161,7 +164,10 @@
         store.put(registry.settledKey(store.era()), "");
     }
 
-    function list(state: Readonly<Record<string, string>> = {}): void {
+    function list(
+        state: Readonly<Record<string, string>> = {},
+        report: Readonly<Record<string, number>> = { born: 1, sequence: 1 },
+    ): void {
         running.filter(endpoint => !crashed.has(endpoint.id)).forEach(endpoint =>
             store.put(
                 `servers/${endpoint.id}`,
@@ -172,8 +178,7 @@
                     slots: 4,
                     state: state[endpoint.id] ?? "ready",
                     db_role: endpoint.primary() ? "primary" : "replica",
-                    born: 1,
-                    sequence: 1,
+                    ...report,
                 }),
             )
         );
@@ -183,7 +188,7 @@
     const regions = options.regions ?? { "zone-0": "ro-nord", "zone-1": "ro-nord" };
     const hostDomain = (number: number): string => Object.keys(regions)[number % 2] ?? "";
     list();
-    const hosts: assembly.Host[] = [];
+    const hosts: proxyHosts.Host[] = [];
     const ports: number[] = [];
     const stopped = new Set<number>();
     const addresses: (readonly [number, number, number])[] = [];
@@ -191,7 +196,7 @@
         addresses.push([await freePort(), await freePort(), await freePort()]);
     }
 
-    function create(number: number): assembly.Host {
+    function create(number: number): proxyHosts.Host {
         const [callers = 0, readiness = 0, peers = 0] = addresses[number] ?? [];
         const settings = settingsFile.parse({
             id: `host-${number}`,
@@ -206,6 +211,9 @@
             metricsPort: 0,
             graceMs: 1_500,
             ...(options.evacuateMs === undefined ? {} : { evacuateMs: options.evacuateMs }),
+            ...options.cold === undefined
+                ? {}
+                : { coldOverage: options.cold.overage, coldSlack: options.cold.slack },
         })._unsafeUnwrap();
         const log = options.log ?? adapters.silent;
         ports[number] = callers;
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -6,6 +6,7 @@
 import * as storeEra from "../src/core/storeera.js";
 import type * as connections from "../src/ports/connection.js";
 import * as clusterViews from "../src/proxy/clusterview.js";
+import * as coldGates from "../src/proxy/coldgate.js";
 import * as configurationTransfer from "../src/proxy/configurationtransfer.js";
 import * as coordinators from "../src/proxy/coordinator.js";
 import * as evacuationViews from "../src/proxy/evacuations.js";
@@ -279,6 +280,19 @@
             schedule,
             groups: () => clusterView.groups(),
         });
+        const coldGate = coldGates.createColdGate({
+            self: self.id,
+            clock,
+            events: eventLog,
+            metrics: { permitAsked: () => undefined },
+            tolerance: undefined,
+            directory,
+            policy: () => storeSync.policy(),
+            peers: () => peers,
+            fencingToken: () => lock.fencingToken(),
+            noClockJumpSince: sinceMs => clusterView.noClockJumpSince(sinceMs),
+            checkSuspension: () => clusterView.checkSuspension(),
+        });
         const clusterView: clusterViews.ClusterView = clusterViews.createClusterView({
             failureDomain,
             spillover: { targetFraction: 0.25, maxShare: 1 },
@@ -291,6 +305,7 @@
             leadership,
             directory,
             limiter,
+            coldGate,
             dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
             queryStatus: endpoint => sendIfOpen(endpoint, { kind: "status" }),
             random,
