--- a/src/platform/cold.test.ts
+++ b/src/platform/cold.test.ts
@@ -43,8 +43,8 @@
         // Six callers would otherwise write several hundred times a second.
         chai.expect(Math.max(...perSecond)).to.be.at.most(20 * 1.5 + 5);
         chai.expect(replies.filter(reply => reply.startsWith("COMPLETE")).length).to.be.at.least(20);
-        const refused = replies.filter(reply => reply.includes("HP1111"));
+        const refused = replies.filter(reply => reply.includes("HP1113"));
         chai.expect(refused.length).to.be.above(0);
-        refused.forEach(reply => chai.expect(reply).to.match(/^ERROR BUSY HP1111 retry-after-ms=\d+/));
+        refused.forEach(reply => chai.expect(reply).to.match(/^ERROR BUSY HP1113 retry-after-ms=\d+/));
     });
 });
