Ask hosts again that don't confirm a changed record, so that a fence ends with the last confirmation

A change of primary waits until all hosts have confirmed that its record changed. Each was asked once, for 250 ms; one busy host that answered later made the fence wait until all old proofs had expired. With weak hosts there is nearly always one.

Ruled out: hosts that were cut off or dead (none was); the promotion itself (0.86 s).

Hosts that don't answer are asked again until they do, or until all old proofs have expired; nothing else of the fence changes. The record that ends a replacement is sent again for half a second.

--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -1,6 +1,5 @@
 /** The steps of replacing a primary: change the record, wait until no host relies on the old one, promote a replica. */
 import type * as directory from "../core/directory.js";
-import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import * as promotion from "../core/promotion.js";
 import * as decisions from "../core/relocation.js";
@@ -10,9 +9,9 @@
 import type * as store from "../ports/store.js";
 import type * as events from "./events.js";
 import type * as groups from "./group.js";
-import * as messages from "./messages.js";
 import type * as peers from "./peers.js";
 import type * as probers from "./prober.js";
+import * as recordNotices from "./recordnotice.js";
 import * as registry from "./registry.js";
 import type * as relocations from "./relocation.js";
 import type * as storeSyncs from "./storesync.js";
@@ -58,8 +57,8 @@
     sinceReplacementMs(group: string): number;
 }
 
-/** Time limit for a peer to confirm a changed record. */
-const confirmTimeoutMs = 250;
+/** Time for which peers are told of the record that ends a replacement; those that miss it learn it from digests. */
+const finalNoticeTimeoutMs = 500;
 /**
  * If a request to the store failed within this time, the old proofs are left to expire even when all peers have
  * confirmed the new record.
@@ -78,6 +77,7 @@
 export function createReplacer(options: Options): Replacer {
     const { clock, events, store: client, leadership, prober } = options;
     const { send, statuses } = prober;
+    const notice = recordNotices.createRecordNotice({ clock, peers: options.peers });
     const storedRecords = new Map<string, registry.StoredRecord>();
     const noPrimarySinceMs = new Map<string, number>();
     const replacedAtMs = new Map<string, number>();
@@ -119,28 +119,20 @@
         return read.value.item.value === value;
     }
 
-    /** Sends a record to all peers; true when every peer that is running has confirmed it. */
-    async function notifyPeers(record: leadership.Record): Promise<boolean> {
-        const confirmed = await Promise.all(
-            options.peers.all().map(async peer => {
-                const reply = await options.peers.call(peer.member, messages.peer.record, record, confirmTimeoutMs);
-                // A refused connection means that no host runs there; one that starts later reads the new record.
-                return reply.isOk() || reply.error.code === failure.Code.ownerUnreachable;
-            }),
-        );
-        return confirmed.every(value => value);
-    }
-
     /**
      * Waits until no host relies on the previous record: every peer has confirmed the new one, or every proof of the
      * previous one has expired. False when the new record is no longer in force or the lock is lost.
      */
     async function fence(record: leadership.Record, token: number): Promise<boolean> {
         const writtenAtMs = clock.now();
+        const expiredAtMs = writtenAtMs + options.maxProofAgeMs;
         const snapshot = await options.storeSync.refresh();
-        const [allConfirmed] = await Promise.all([notifyPeers(record), options.applyAndFence(record)]);
+        const [allConfirmed] = await Promise.all([
+            notice.confirmAll(record, expiredAtMs),
+            options.applyAndFence(record),
+        ]);
         if (snapshot === undefined || !allConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs) {
-            await clock.sleep(Math.max(0, writtenAtMs + options.maxProofAgeMs - clock.now()));
+            await clock.sleep(Math.max(0, expiredAtMs - clock.now()));
         }
         const current = leadership.find(record.group);
         const inForce = holdsLock(token) && current?.epoch === record.epoch;
@@ -163,7 +155,7 @@
             return false;
         }
         replacedAtMs.set(group, clock.now());
-        await notifyPeers(record);
+        await notice.confirmAll(record, clock.now() + finalNoticeTimeoutMs);
         return true;
     }
 
