Queue statements by target, priority and organisation; refuse at once what can't be served

The queue before an endpoint was fair between organisations and knew neither priority nor target. A statement that could no longer be served was held until its deadline, and one whose caller had left was still served. Waits were estimated with the endpoint's slots, though a host has but a few connections of its own.

Ruled out: strict priority (the least urgent route starves); earliest target first; one queue for all hosts; holding less urgent statements back at hosts while an endpoint is crowded (digests don't tell what is under way apart from what waits).

Retries end with the caller. core/queue serves the MySQL daemon as before. Metrics hyssophatch_queue_inversions_total and hyssophatch_queue_abandoned_total.

Where each host has one connection, it waits at the endpoint, and the order there is the endpoint's.

--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -183,6 +183,7 @@
             queryStatus: async endpoint =>
                 (await container.get<probers.Prober>(id.prober).statuses([endpoint])).get(endpoint.id),
             coldGate: coldGate(),
+            metrics: metrics(),
             random: environment.random,
             self: () => self,
             peers,
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -14,6 +14,7 @@
 import type * as coldGates from "./coldgate.js";
 import * as configurationTransfer from "./configurationtransfer.js";
 import type * as coordinators from "./coordinator.js";
+import type * as endpoints from "./endpoint.js";
 import type * as endpointChoices from "./endpointchoice.js";
 import * as endpointTransfer from "./endpointtransfer.js";
 import type * as evacuations from "./evacuations.js";
@@ -43,6 +44,7 @@
     readonly evacuations: evacuations.Evacuations;
     readonly dialer: connections.Dialer;
     readonly spillover: endpointChoices.SpilloverLimits;
+    readonly metrics: endpoints.AdmissionMetrics;
     /** Queries the status of an endpoint, outside of any request; undefined without one. */
     queryStatus(endpoint: directories.Endpoint): Promise<connections.Status | undefined>;
     readonly coldGate: coldGates.ColdGate;
@@ -185,6 +187,7 @@
             otherHostsOutcomes: endpoint => peers().endpointOutcomes(endpoint),
             viewAgeMs: () => peers().viewAgeMs(),
             spillover: options.spillover,
+            metrics: options.metrics,
             endpoints: () => directory.inGroup(name),
             evacuations: options.evacuations,
             queryStatus: options.queryStatus,
--- a/src/proxy/endpoint.test.ts
+++ b/src/proxy/endpoint.test.ts
@@ -25,6 +25,8 @@
             events: { emit: () => undefined, reportOmitted: () => undefined },
             roundTripMs: 1,
             otherHostsLoad: () => 0,
+            viewAgeMs: () => 0,
+            metrics: { inverted: () => undefined, abandoned: () => undefined },
             share: () => ({ guaranteed: 2, spare: 0 }),
         });
         const suspect = (): boolean => view.placementInputs("cluj").suspect;
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -1,6 +1,7 @@
 /** One endpoint as this host sees it: its connections, response times, failures and replication lag. */
 import type * as shares from "../core/connectionshares.js";
 import type * as directory from "../core/directory.js";
+import * as endpointRooms from "../core/endpointroom.js";
 import * as evidences from "../core/evidence.js";
 import type * as placement from "../core/placement.js";
 import type * as positions from "../core/position.js";
@@ -23,6 +24,17 @@
     share(): shares.Share;
     /** Number of statements that the other hosts run at the endpoint or queue for it. */
     otherHostsLoad(): number;
+    /** Mean age of what this host knows of the other hosts, in milliseconds. */
+    viewAgeMs(): number;
+    readonly metrics: AdmissionMetrics;
+}
+
+/** Counters of the statements that wait for connections. */
+export interface AdmissionMetrics {
+    /** Counts a statement served while a more urgent one that could meet its target waited. */
+    inverted(): void;
+    /** Counts a waiting statement that was dropped because its caller had left. */
+    abandoned(): void;
 }
 
 /** What is needed beside a reply to update the statistics. */
@@ -93,9 +105,17 @@
     let failingSinceMs: number | undefined;
     let lastFailureMs = -Infinity;
     const evidence = evidences.createEvidence();
+    const endpointRoom = endpointRooms.createEndpointRoom();
 
     const isCrowded = (): boolean => pool.load() + options.otherHostsLoad() > crowdedFactor * listed.slots;
 
+    const endpointView = (ownLoad: number): endpointRooms.View => ({
+        slots: listed.slots,
+        othersLoad: options.otherHostsLoad(),
+        ownLoad,
+        ageMs: options.viewAgeMs(),
+    });
+
     function recordAnswer(): void {
         if (failingSinceMs !== undefined) {
             events.emit("endpointRegained", { ...labels, lostMs: Math.round(clock.now() - failingSinceMs) });
@@ -136,9 +156,12 @@
         endpoint: listed.id,
         group: listed.group,
         address: listed.address,
-        concurrency: listed.slots,
         dialer: options.dialer,
         clock,
+        answerMs: () => options.roundTripMs + serviceMs,
+        endpointWaitMs: ownLoad => endpointRoom.waitMs(endpointView(ownLoad)),
+        onInversion: options.metrics.inverted,
+        onAbandoned: options.metrics.abandoned,
         share: () => options.share(),
         onReply: recordAnswer,
         onFailure: recordFailure,
@@ -164,6 +187,7 @@
             if (executed) {
                 const observedMs = Math.max(0, clock.now() - requestedAtMs - options.roundTripMs);
                 serviceMs += (observedMs - serviceMs) * serviceSmoothing;
+                endpointRoom.recordAnswer(observedMs, endpointView(Math.max(0, pool.load() - 1)));
             }
         },
         contact() {
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -42,6 +42,7 @@
     /** This host's share of the connections to an endpoint. */
     share(endpoint: string): shares.Share;
     readonly spillover: endpointChoices.SpilloverLimits;
+    readonly metrics: endpoints.AdmissionMetrics;
     endpoints(): readonly directory.Endpoint[];
     readonly evacuations: evacuations.Evacuations;
     /** Queries the status of an endpoint; undefined without one. */
@@ -195,6 +196,8 @@
             roundTripMs: roundTripToDomainMs(listed.failureDomain),
             share: () => options.share(listed.id),
             otherHostsLoad: () => options.otherHostsLoad(listed.id),
+            viewAgeMs: options.viewAgeMs,
+            metrics: options.metrics,
         });
         views.set(listed.id, created);
         return created;
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -4,6 +4,7 @@
 import type * as failure from "../core/failure.js";
 import type * as caller from "../ports/caller.js";
 import type * as coldGates from "./coldgate.js";
+import type * as endpoints from "./endpoint.js";
 import type * as sessions from "./session.js";
 
 /** Values of the gauges about what this host has learnt from the store. */
@@ -35,7 +36,7 @@
 }
 
 /** Metrics of one host. */
-export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics {
+export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics, endpoints.AdmissionMetrics {
     /** Counts a call to the platform. */
     countPlatformCall(kind: string, result: string): void;
     /** Counts that the store came back from an older copy. */
@@ -90,6 +91,16 @@
         labelNames: ["result"],
         registers,
     });
+    const inversions = new prometheus.Counter({
+        name: "hyssophatch_queue_inversions_total",
+        help: "Statements served while a more urgent one that could meet its target waited at this host.",
+        registers,
+    });
+    const abandoned = new prometheus.Counter({
+        name: "hyssophatch_queue_abandoned_total",
+        help: "Waiting statements that were dropped because their caller had left.",
+        registers,
+    });
     const restorations = new prometheus.Counter({
         name: "hyssophatch_store_restorations_total",
         help: "Times that the store came back from an older copy of its data.",
@@ -134,6 +145,8 @@
             refused.inc({ organisation, code: String(code) });
             latency.observe({ database, outcome: "refused" }, elapsedMs / 1_000);
         },
+        inverted: () => inversions.inc(),
+        abandoned: () => abandoned.inc(),
         permitAsked: result => permits.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -1,12 +1,12 @@
 /**
  * Connection pool of this host for one endpoint. A connection belongs to the organisation it was opened for; when the
- * pool is full, idle connections of other organisations are closed to make room. Statements queue here, fairly between
- * organisations, and not at the endpoint.
+ * pool is full, idle connections of other organisations are closed to make room. Statements queue here, by target, priority
+ * and organisation, and not at the endpoint.
  */
 import * as neverthrow from "neverthrow";
+import * as admissionQueues from "../core/admissionqueue.js";
 import type * as connectionShares from "../core/connectionshares.js";
 import * as failure from "../core/failure.js";
-import * as queues from "../core/queue.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
 
@@ -18,12 +18,18 @@
     readonly endpoint: string;
     readonly group: string;
     readonly address: string;
-    /** Statements that the endpoint executes at once; used to estimate waiting times. */
-    readonly concurrency: number;
     readonly dialer: connections.Dialer;
     readonly clock: runtime.HostClock;
     /** Connections that this host may currently open to the endpoint. */
     share(): connectionShares.Share;
+    /** Time in which the endpoint is expected to answer a statement, in milliseconds. */
+    answerMs(): number;
+    /** Time for which the statements of all hosts keep the endpoint busy, given this host's at it, in milliseconds. */
+    endpointWaitMs(ownLoad: number): number;
+    /** Called when a less urgent statement was served while a more urgent one that could meet its target waited. */
+    onInversion(): void;
+    /** Called when a waiting statement is dropped because its caller has left. */
+    onAbandoned(): void;
     /** Called when the endpoint replied to a connection attempt. */
     onReply(): void;
     /** Called when a connection attempt that began at `startedMs` failed. */
@@ -41,6 +47,8 @@
     readonly targetMs: number;
     /** Scheduling priority of the statement's route; 0 is the most urgent. */
     readonly priority: number;
+    /** True once the caller no longer waits for an answer. */
+    isAbandoned?(): boolean;
 }
 
 /** A connection checked out of the pool. */
@@ -99,15 +107,18 @@
 /** Pause before the next connection attempt at an endpoint that is full. */
 const dialRetryMs = 150;
 const defaultRetryAfterMs = 100;
+/** Shortest time over which the returns of refused callers are spread. */
+const minSpreadMs = 50;
+/** Steps of this part of the whole fill an interval evenly, however many there are. */
+const goldenRatio = 0.618_033_988_75;
 
 /** Creates an empty pool. */
 export function createPool(options: Options): Pool {
     const { clock } = options;
-    const queue = queues.createQueue<Waiter>({
-        maxLength: maxQueueLength,
-        concurrency: options.concurrency,
-        weight: () => 1,
-    });
+    const queue = admissionQueues.createAdmissionQueue<Waiter>({ maxLength: maxQueueLength, weight: () => 1 });
+    /** Position in the sequence of spread times to come back; the phase differs from host to host. */
+    let spreadPart = clock.now() % 1;
+    let inversions = 0;
     let idle: PoolEntry[] = [];
     const inUse = new Set<PoolEntry>();
     /** Connections in use or being opened. */
@@ -125,6 +136,35 @@
         return failure.create(failure.Code.overloaded, options.endpoint, message, retryAfterMs);
     }
 
+    /** A time to come back once there is room, spread so that refused callers do not return together. */
+    function spreadRetry(roomInMs: number): number {
+        spreadPart = (spreadPart + goldenRatio) % 1;
+        return Math.ceil(roomInMs + Math.max(minSpreadMs, roomInMs) * spreadPart);
+    }
+
+    function refuse(tickets: readonly admissionQueues.Ticket<Waiter>[], roomInMs: number): void {
+        tickets.forEach(ticket => ticket.value.resolve(neverthrow.err(overloaded(spreadRetry(roomInMs)))));
+    }
+
+    function room(): admissionQueues.Room {
+        const concurrency = connectionLimit();
+        return {
+            concurrency,
+            underWay: activeCount,
+            answerMs: options.answerMs(),
+            // A host's guaranteed part doesn't depend on what it knows of the others.
+            endpointWaitMs: activeCount < Math.max(1, options.share().guaranteed)
+                ? 0
+                : options.endpointWaitMs(activeCount),
+        };
+    }
+
+    function dropAbandoned(): void {
+        const left = queue.remove(ticket => ticket.value.request.isAbandoned?.() === true);
+        left.forEach(options.onAbandoned);
+        refuse(left, defaultRetryAfterMs);
+    }
+
     function takeIdle(request: AcquireRequest): PoolEntry | undefined {
         idle = idle.filter(entry => entry.connection.isOpen());
         const ofOrganisation = idle.filter(entry => entry.organisation === request.organisation);
@@ -144,7 +184,7 @@
         }
     }
 
-    function checkOut(entry: PoolEntry): PooledConnection {
+    function checkOut(entry: PoolEntry, { priority }: AcquireRequest): PooledConnection {
         const startMs = clock.now();
         let returned = false;
         inUse.add(entry);
@@ -155,7 +195,7 @@
             returned = true;
             inUse.delete(entry);
             activeCount -= 1;
-            queue.recordServiceTime(clock.now() - startMs);
+            queue.recordHold(priority, clock.now() - startMs);
             if (reusable && !closed && entry.connection.isOpen()) {
                 entry.idleSinceMs = clock.now();
                 idle.push(entry);
@@ -216,7 +256,7 @@
         const entry = takeIdle(waiter.request);
         activeCount += 1;
         if (entry !== undefined) {
-            waiter.resolve(neverthrow.ok(checkOut(entry)));
+            waiter.resolve(neverthrow.ok(checkOut(entry, waiter.request)));
             return;
         }
         closeIdleOverLimit();
@@ -227,15 +267,24 @@
             dispatch();
             return;
         }
-        waiter.resolve(neverthrow.ok(checkOut(dialed.value)));
+        waiter.resolve(neverthrow.ok(checkOut(dialed.value, waiter.request)));
     }
 
     function dispatch(): void {
         while (activeCount < connectionLimit()) {
-            const ticket = queue.take();
+            const ticket = queue.take(clock.now(), room());
             if (ticket === undefined) {
                 return;
             }
+            if (queue.inversions() > inversions) {
+                inversions = queue.inversions();
+                options.onInversion();
+            }
+            if (ticket.value.request.isAbandoned?.() === true) {
+                options.onAbandoned();
+                refuse([ticket], defaultRetryAfterMs);
+                continue;
+            }
             void serve(ticket.value);
         }
     }
@@ -245,9 +294,8 @@
             return;
         }
         const nowMs = clock.now();
-        queue.removeExpired(nowMs).forEach(ticket =>
-            ticket.value.resolve(neverthrow.err(overloaded(defaultRetryAfterMs)))
-        );
+        dropAbandoned();
+        refuse(queue.removeHopeless(nowMs, room()), defaultRetryAfterMs);
         const excess = activeCount + idle.length - Math.max(1, options.share().guaranteed);
         const stale = idle.filter(entry => nowMs - entry.idleSinceMs > idleTimeoutMs).slice(0, Math.max(0, excess));
         if (stale.length > 0) {
@@ -265,12 +313,14 @@
                     resolve(neverthrow.err(overloaded(defaultRetryAfterMs)));
                     return;
                 }
-                const { organisation, deadlineMs } = request;
-                const admission = queue.offer({ organisation, deadlineMs, value: { request, resolve } }, clock.now());
+                const { organisation, deadlineMs, targetMs, priority } = request;
+                const ticket = { organisation, deadlineMs, targetMs, priority, value: { request, resolve } };
+                const admission = queue.offer(ticket, clock.now(), room());
                 if (!admission.admitted) {
-                    resolve(neverthrow.err(overloaded(admission.retryAfterMs)));
+                    refuse([ticket], admission.roomInMs);
                     return;
                 }
+                refuse(admission.displaced, defaultRetryAfterMs);
                 dispatch();
             });
         },
@@ -281,9 +331,7 @@
         close() {
             closed = true;
             idle.splice(0).forEach(entry => entry.connection.close());
-            queue.removeExpired(Infinity).forEach(ticket =>
-                ticket.value.resolve(neverthrow.err(overloaded(defaultRetryAfterMs)))
-            );
+            refuse(queue.remove(() => true), defaultRetryAfterMs);
         },
     };
 }
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -66,5 +66,6 @@
         deadlineMs,
         targetMs: statements.targetMs(context),
         priority: context.route.priority,
+        isAbandoned: context.isAbandoned,
     });
 }
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -107,6 +107,7 @@
             lastCommit: lastCommit?.group === route.group ? lastCommit : undefined,
             arrivedMs,
             deadlineMs: nowMs + route.statementTimeoutMs,
+            isAbandoned: () => closed,
         };
     }
 
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -35,6 +35,8 @@
     /** Arrival time of the request, or of its transaction's BEGIN. */
     readonly arrivedMs: number;
     readonly deadlineMs: number;
+    /** True once the caller has left. */
+    isAbandoned?(): boolean;
 }
 
 /** A complete reply, and the endpoint that gave it. */
@@ -64,9 +66,9 @@
     return deadlineMs - route.statementTimeoutMs + route.latencyTargetMs;
 }
 
-/** True when enough time remains for a pause and another attempt. */
+/** True when the caller still waits, and enough time remains for a pause and another attempt. */
 export function canRetry(context: Context, clock: runtime.Clock): boolean {
-    return remainingMs(context, clock) > retryPauseMs + minAttemptMs;
+    return context.isAbandoned?.() !== true && remainingMs(context, clock) > retryPauseMs + minAttemptMs;
 }
 
 /** Key of the statement in `PooledConnection.prepared`; undefined unless it is a prepared statement. */
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -306,6 +306,7 @@
             directory,
             limiter,
             coldGate,
+            metrics: { inverted: () => undefined, abandoned: () => undefined },
             dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
             queryStatus: endpoint => sendIfOpen(endpoint, { kind: "status" }),
             random,
