Weigh organisations in the queue by their configured rates, and remember what they were served

Cause, found in the review of the queue. All organisations counted alike, so a large one that keeps within its rate went behind all small ones as soon as an endpoint was crowded, as if it were a hot one. With weights alone it still got 0.375 of what was served instead of half: the queue forgot what an organisation had been served as soon as none of its statements waited, so a small one that came now and then always went first.

Ruled out: no limit on an organisation's part (a hot one then crowds out the others).

What an organisation was served is remembered until the others have caught up.

--- a/src/core/admissionqueue.ts
+++ b/src/core/admissionqueue.ts
@@ -91,7 +91,7 @@
 export function createAdmissionQueue<T>(options: Options): AdmissionQueue<T> {
     let tickets: readonly Ticket<T>[] = [];
     const holds = new Map<number, number>();
-    /** Time served of each organisation that waits, over its weight; the lowest is served next. */
+    /** Time served of each organisation, over its weight, on the scale of the virtual time; the lowest is served next. */
     const passes = new Map<string, number>();
     /** Time served of each priority below the most urgent one; the lowest is served next. */
     const priorityPasses = new Map<number, number>();
@@ -172,17 +172,21 @@
             : untilFreeMs + (urgentMs + equalTotalMs + lowerMs) / room.concurrency;
     }
 
-    function forget(organisation: string): void {
-        if (!tickets.some(entry => entry.organisation === organisation)) {
-            passes.delete(organisation);
-        }
+    /** Forgets what organisations without a waiting statement were served, once the others have caught up with them. */
+    function forgetPasses(): void {
+        const waiting = new Set(tickets.map(entry => entry.organisation));
+        passes.forEach((pass, organisation) => {
+            if (pass <= virtualTime && !waiting.has(organisation)) {
+                passes.delete(organisation);
+            }
+        });
     }
 
     function remove(matches: (ticket: Ticket<T>) => boolean): readonly Ticket<T>[] {
         const removed = tickets.filter(matches);
         if (removed.length > 0) {
             tickets = tickets.filter(entry => !removed.includes(entry));
-            removed.forEach(entry => forget(entry.organisation));
+            forgetPasses();
         }
         return removed;
     }
@@ -252,7 +256,8 @@
                 return { admitted: false, roomInMs: Math.max(1, waitMs) };
             }
             remove(entry => entry === displaced);
-            passes.set(ticket.organisation, passes.get(ticket.organisation) ?? virtualTime);
+            // An organisation does not save up for later what it could have been served at other priorities.
+            passes.set(ticket.organisation, Math.max(virtualTime, passes.get(ticket.organisation) ?? virtualTime));
             tickets = [...tickets, ticket];
             return { admitted: true, displaced: displaced === undefined ? [] : [displaced] };
         },
@@ -278,7 +283,7 @@
             usage.record(ticket.organisation, holdMs(ticket.priority), nowMs);
             passes.set(ticket.organisation, (passes.get(ticket.organisation) ?? virtualTime) + served);
             tickets = tickets.filter(entry => entry !== ticket);
-            forget(ticket.organisation);
+            forgetPasses();
             return ticket;
         },
         removeHopeless(nowMs, room) {
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -7,6 +7,7 @@
 import type * as directories from "../core/directory.js";
 import type * as leaderships from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import * as organisationWeights from "../core/organisationweight.js";
 import * as suspensions from "../core/suspension.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -129,6 +130,7 @@
     const suspensionDetector = suspensions.createDetector();
     const groups = new Map<string, databaseGroups.Group>();
     const allocator = connectionShares.createAllocator();
+    const weight = organisationWeights.createWeights(() => storeSync().policy());
     let lastClockJumpMs = -Infinity;
     let wasTrusted = false;
     const endpointFetcher = endpointTransfer.createFetcher({
@@ -182,6 +184,7 @@
             leadership,
             noClockJumpSince,
             regionOf: domain => options.regionByFailureDomain[domain],
+            weight,
             share: endpoint => shareOf(name, endpoint),
             otherHostsLoad: endpoint => peers().endpointUsage(endpoint)[0],
             otherHostsOutcomes: endpoint => peers().endpointOutcomes(endpoint),
--- a/src/proxy/endpoint.test.ts
+++ b/src/proxy/endpoint.test.ts
@@ -27,6 +27,7 @@
             otherHostsLoad: () => 0,
             viewAgeMs: () => 0,
             metrics: { inverted: () => undefined, abandoned: () => undefined },
+            weight: () => 1,
             share: () => ({ guaranteed: 2, spare: 0 }),
         });
         const suspect = (): boolean => view.placementInputs("cluj").suspect;
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -20,6 +20,8 @@
     readonly events: events.EventLog;
     /** Network round trip to the endpoint, in milliseconds. */
     readonly roundTripMs: number;
+    /** Relative weight of an organisation among those whose statements wait, above 0. */
+    weight(organisation: string): number;
     /** This host's share of the connections to the endpoint. */
     share(): shares.Share;
     /** Number of statements that the other hosts run at the endpoint or queue for it. */
@@ -162,6 +164,7 @@
         endpointWaitMs: ownLoad => endpointRoom.waitMs(endpointView(ownLoad)),
         onInversion: options.metrics.inverted,
         onAbandoned: options.metrics.abandoned,
+        weight: options.weight,
         share: () => options.share(),
         onReply: recordAnswer,
         onFailure: recordFailure,
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -39,6 +39,8 @@
     noClockJumpSince(sinceMs: number): boolean;
     /** Region of a failure domain; undefined when it isn't configured. */
     regionOf(failureDomain: string): string | undefined;
+    /** Relative weight of an organisation among those whose statements wait, above 0. */
+    weight(organisation: string): number;
     /** This host's share of the connections to an endpoint. */
     share(endpoint: string): shares.Share;
     readonly spillover: endpointChoices.SpilloverLimits;
@@ -194,6 +196,7 @@
             dialer: options.dialer,
             events: options.events,
             roundTripMs: roundTripToDomainMs(listed.failureDomain),
+            weight: options.weight,
             share: () => options.share(listed.id),
             otherHostsLoad: () => options.otherHostsLoad(listed.id),
             viewAgeMs: options.viewAgeMs,
--- a/src/proxy/pool.test.ts
+++ b/src/proxy/pool.test.ts
@@ -30,6 +30,7 @@
         clock,
         answerMs: () => 10,
         endpointWaitMs: () => 0,
+        weight: () => 1,
         share: () => ({ guaranteed: 1, spare: 0 }),
         onInversion: () => counts.inversions += 1,
         onAbandoned: () => counts.abandoned += 1,
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -20,6 +20,8 @@
     readonly address: string;
     readonly dialer: connections.Dialer;
     readonly clock: runtime.HostClock;
+    /** Relative weight of an organisation, above 0. */
+    weight(organisation: string): number;
     /** Connections that this host may currently open to the endpoint. */
     share(): connectionShares.Share;
     /** Time in which the endpoint is expected to answer a statement, in milliseconds. */
@@ -115,7 +117,7 @@
 /** Creates an empty pool. */
 export function createPool(options: Options): Pool {
     const { clock } = options;
-    const queue = admissionQueues.createAdmissionQueue<Waiter>({ maxLength: maxQueueLength, weight: () => 1 });
+    const queue = admissionQueues.createAdmissionQueue<Waiter>({ maxLength: maxQueueLength, weight: options.weight });
     /** Position in the sequence of spread times to come back; the phase differs from host to host. */
     let spreadPart = clock.now() % 1;
     let inversions = 0;
