--- a/src/core/duties.test.ts
+++ b/src/core/duties.test.ts
@@ -19,4 +19,30 @@
         const ranks = hosts.map(host => duties.rank(host, hosts.filter(other => other !== host)));
         chai.expect(ranks).to.deep.equal([2, 0, 1, 3]);
     });
+
+    it("go past hosts that lack room, and by capacity as usual where all lack it", () => {
+        const hosts = [carrier("a", 1.35), carrier("b", 0.7), carrier("c", 0.3)];
+        const strain = (ids: readonly string[]): readonly string[] =>
+            hosts.map(host => ({ ...host, strained: ids.includes(host.id) })).sort(duties.compare).map(host => host.id);
+        chai.expect(strain([])).to.deep.equal(["a", "b", "c"]);
+        chai.expect(strain(["a"])).to.deep.equal(["b", "c", "a"]);
+        chai.expect(strain(["a", "b"])).to.deep.equal(["c", "a", "b"]);
+        chai.expect(strain(["a", "b", "c"])).to.deep.equal(["a", "b", "c"]);
+    });
+
+    it("are handed over only by a strained host, and only to a host with room", () => {
+        const [roomy, busy, strained] = [
+            { strained: false, spare: 0.5 },
+            { strained: false, spare: 0.2 },
+            { strained: true, spare: 0.4 },
+        ];
+        chai.expect(duties.shouldHandOver(true, [busy, strained, roomy])).to.equal(true);
+        chai.expect(duties.shouldHandOver(true, [busy, strained])).to.equal(false);
+        chai.expect(duties.shouldHandOver(true, [])).to.equal(false);
+        chai.expect(duties.shouldHandOver(false, [roomy])).to.equal(false);
+    });
+
+    it("are acquired by a strained host only after the others", () => {
+        chai.expect(duties.acquisitionRank(0, true)).to.be.above(duties.acquisitionRank(3, false));
+    });
 });
