Hosts tell each other their room, leave rotation without it, and hand duties over

Ruled out: a new element of the encoded digest, as hosts of older versions reject lists of another length; the header, which is sent again as a whole when it changes; a timer of its own (the measurement runs with the limiter's reports each 250 ms).

Change: proxy/hostroom measures the event loop, processor time, timer delay, memory and callers' bytes, and decides about rotation; readiness takes it into account. Digests carry the room in a row of endpoint usage that older versions pass over, summaries of cells one number for each host, checked by a hash of the ids (proxy/roomcodec, proxy/roomview). `peers.rooms.roomOf(id)` gives the spare part of a host's capacity and its age. Delegates, readers and the polling order put strained hosts last; a strained holder of the failover lock gives it up if another host has room, at most each 15 s. New: event roomChanged, load in `measured`, three metrics, settings memoryMegabytes and linkMegabitsPerSecond, docs/design/uneven-hosts.md. The description of a host moved from assembly to settings.

The simulated fleet of 6 and of 40 hosts moves the lock once, never to two holders, and not at all while all are busy. Each mechanism was seen red with it off (docs/proofs.md).

--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -24,6 +24,8 @@
     count(): number;
     /** Number of connections with a request running or a transaction open. */
     busy(): number;
+    /** Bytes received and sent since the start. */
+    byteCount(): number;
     /** Closes the connections that have neither a request running nor a transaction open. */
     closeIdle(): void;
     /** Stops listening and closes all connections. */
@@ -47,6 +49,7 @@
 /** Starts to listen; rejects when the address can't be bound. */
 export async function listen(options: Options): Promise<Listener> {
     const connections = new Set<Connection>();
+    let byteCount = 0;
 
     function accept(socket: net.Socket): void {
         const connection: Connection = { socket, session: undefined, running: false, closing: false };
@@ -66,6 +69,7 @@
         }
 
         function send(text: string): void {
+            byteCount += text.length;
             if (!socket.destroyed) {
                 socket.write(text, wire.encoding);
             }
@@ -136,6 +140,7 @@
         }
 
         socket.on("data", (chunk: string) => {
+            byteCount += chunk.length;
             if (connection.closing) {
                 return;
             }
@@ -173,6 +178,7 @@
         count: () => connections.size,
         busy: () =>
             [...connections].filter(connection => connection.running || connection.session?.idle() === false).length,
+        byteCount: () => byteCount,
         closeIdle() {
             connections.forEach(connection => {
                 if (!connection.running && connection.session?.idle() !== false) {
--- a/src/ports/runtime.ts
+++ b/src/ports/runtime.ts
@@ -18,6 +18,16 @@
     after(ms: number, action: () => void): () => void;
 }
 
+/** What the process has used since its start. */
+export interface ProcessUsage {
+    /** Time that the event loop was not idle, in milliseconds. */
+    readonly loopBusyMs: number;
+    /** Processor time, in milliseconds. */
+    readonly processorMs: number;
+    /** Memory in use, in bytes. */
+    readonly memoryBytes: number;
+}
+
 /** Fields of a log line. */
 export type Fields = Readonly<Record<string, unknown>>;
 
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -22,9 +22,9 @@
 import * as failoverLocks from "./failoverlock.js";
 import * as gaugeReader from "./gauges.js";
 import type * as hosts from "./host.js";
+import * as hostRooms from "./hostroom.js";
 import * as id from "./identifiers.js";
 import * as logins from "./login.js";
-import * as messages from "./messages.js";
 import * as metricsRegistry from "./metrics.js";
 import * as peerHandlers from "./peerhandlers.js";
 import * as gossip from "./peers.js";
@@ -57,14 +57,7 @@
     const { settings, clock, log } = environment;
     const container = new inversify.Container();
     const lifecycle = lifecycles.createLifecycle(log);
-    let self: messages.Member = {
-        id: settings.id,
-        address: `${settings.peers.host}:${settings.peers.port}`,
-        failureDomain: settings.failureDomain,
-        incarnation: environment.incarnation,
-        leaving: false,
-        capacity: settings.processor.share * settings.processor.cores,
-    };
+    let self = settingsFile.memberOf(settings, environment.incarnation);
     let callers: callerDrain.CallerListener | undefined;
     let stopping = false;
     let refusesLogins = false;
@@ -109,6 +102,7 @@
             events: events(),
             random: environment.random,
             localDigest: () => clusterView().localDigest(),
+            room: () => hostRoom.report(),
             isUrgent: () => clusterView().lacksProof(),
             onDigest: (digest, sentMs) => clusterView().mergeDigest(digest, sentMs),
         })
@@ -236,6 +230,7 @@
             }),
             schedule: reading().schedule,
             groups: () => clusterView().groups(),
+            shouldHandOver: () => hostRoom.shouldHandOver(),
         })
     ).inSingletonScope();
     container.bind(id.login).toDynamicValue(() =>
@@ -303,6 +298,7 @@
         limiter: limiter(),
         failoverLock: failoverLock(),
         evacuations: evacuations(),
+        hostRoom,
     });
     const gauges = () => gaugeReader.read({ ...components(), callers: callers?.count() ?? 0 });
 
@@ -315,6 +311,14 @@
             primaries: leadership().all().length > 0,
             evacuations: evacuations().known(),
         }),
+        hasRoom: () => hostRoom.inRotation(),
+    });
+    const hostRoom = hostRooms.createHostRoom({
+        ...environment,
+        events,
+        peers,
+        otherwiseReady: readinessState.otherwiseReady,
+        callers: () => callers,
     });
 
     lifecycle.add({
--- a/src/proxy/callerdrain.ts
+++ b/src/proxy/callerdrain.ts
@@ -7,6 +7,8 @@
     count(): number;
     /** Number of connections with a request in progress or a transaction open. */
     busy(): number;
+    /** Bytes received and sent since the start. */
+    byteCount(): number;
     /** Closes the connections that are not busy. */
     closeIdle(): void;
     close(): void;
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -39,6 +39,8 @@
     readonly lock: failoverLocks.HeldLock;
     readonly schedule: Pick<schedules.Schedule, "lockRank" | "registrationLife">;
     readonly relocation: relocations.Relocation;
+    /** True while this host lacks room and another one has some. */
+    shouldHandOver?(): boolean;
     groups(): readonly groups.Group[];
     endpoints(group: string): readonly directory.Endpoint[];
 }
@@ -76,6 +78,8 @@
 
 /** Time after a replacement during which a primary isn't replaced for failing statements: evidence of it is young. */
 const failingHoldOffMs = 10_000;
+/** Shortest time between two hand-overs of the lock for lack of room. */
+const minHandOverIntervalMs = 15_000;
 /** Time without contact to a primary and to any other host after which this host gives up the lock. */
 const isolationTimeoutMs = 1_000;
 
@@ -105,6 +109,7 @@
     let lastTickMs = -Infinity;
     let inquiredAtMs = -Infinity;
     let heldOffUntilMs = -Infinity;
+    let handedOverAtMs = -Infinity;
     let stop: (() => void) | undefined;
 
     function stateOf(group: string): GroupState {
@@ -291,6 +296,14 @@
             void restore();
             return;
         }
+        if (
+            attempts.size === 0 && nowMs - handedOverAtMs >= minHandOverIntervalMs
+            && options.shouldHandOver?.() === true
+        ) {
+            handedOverAtMs = nowMs;
+            void yieldLock();
+            return;
+        }
         options.groups().forEach(supervise);
     }
 
@@ -310,7 +323,7 @@
         }
     }
 
-    /** Leaves the lock to a host that reaches the primaries or at least the other hosts. */
+    /** Leaves the lock to a host that reaches the primaries or at least the other hosts, or has more room. */
     async function yieldLock(): Promise<void> {
         if (clock.now() >= heldOffUntilMs) {
             // The hosts that are dead are no longer registered then.
--- a/src/proxy/digestcodec.test.ts
+++ b/src/proxy/digestcodec.test.ts
@@ -28,7 +28,29 @@
 const tenths = fc.nat(900).map(value => value / 10);
 const endpointOutcomes = fc.dictionary(name, fc.record({ served: tenths, failed: tenths }));
 
-const digest: fc.Arbitrary<messages.Digest> = fc.record({
+const part = fc.nat(100).map(value => value / 100);
+const room = fc.record({
+    spare: part,
+    strained: fc.boolean(),
+    inRotation: fc.boolean(),
+    claim: fc.option(fc.integer({ min: 1, max: 100 }).map(value => value / 100), { nil: undefined }),
+});
+const rooms = fc.record({
+    idsHash: fc.nat(),
+    reports: fc.array(fc.option(fc.record({ spare: part, strained: fc.boolean() }), { nil: undefined })),
+});
+/** Adds an optional field to some of the records. */
+function withOptional<Base extends object, Name extends string, Value>(
+    base: fc.Arbitrary<Base>,
+    name: Name,
+    value: fc.Arbitrary<Value>,
+): fc.Arbitrary<Base> {
+    return fc.tuple(base, fc.option(value, { nil: undefined })).map(([record, added]) =>
+        added === undefined ? record : { ...record, [name]: added }
+    );
+}
+
+const plainDigest: fc.Arbitrary<messages.Digest> = fc.record({
     self: fc.boolean().map(leaving => ({ ...self, leaving })),
     configurationVersion: fc.nat(3),
     storeEra: fc.option(fc.nat(3), { nil: undefined }),
@@ -50,22 +72,28 @@
     knownMembers: fc.constant([]),
     evacuations: fc.option(fc.record({ revision: fc.nat(), failureDomains: fc.array(name) }), { nil: undefined }),
     cellSummaries: fc.array(
-        fc.record({
-            cell: name,
-            baselineId: fc.nat(),
-            ageMs,
-            liveHosts: fc.nat(16),
-            suspectedHosts: fc.nat(16),
-            pollAgeMs: optionalAgeMs,
-            proofAgeMs: optionalAgeMs,
-            organisationUsage,
-            endpointUsage,
-            endpointOutcomes,
-        }),
+        withOptional(
+            fc.record({
+                cell: name,
+                baselineId: fc.nat(),
+                ageMs,
+                liveHosts: fc.nat(16),
+                suspectedHosts: fc.nat(16),
+                pollAgeMs: optionalAgeMs,
+                proofAgeMs: optionalAgeMs,
+                organisationUsage,
+                endpointUsage,
+                endpointOutcomes,
+            }),
+            "rooms",
+            rooms,
+        ),
         { maxLength: 3 },
     ),
 });
 
+const digest = withOptional(plainDigest, "room", room);
+
 /** The receiving host, which keeps the newest header that has arrived. */
 interface Receiver {
     header: { readonly number: number; readonly value: messages.DigestHeader } | undefined;
@@ -116,6 +144,22 @@
         chai.expect(digestCodec.createEncoder(7).encode(sent, undefined, 77)[3]).to.equal(77);
     });
 
+    it("tells hosts of versions without rooms nothing that they can't read, and takes their digests", () => {
+        const [sent] = fc.sample(plainDigest, { numRuns: 1, seed: 1 }) as [messages.Digest];
+        const report = { spare: 0.13, strained: true, inRotation: false, claim: 0.97 };
+        const encode = (value: messages.Digest): messages.EncodedDigest =>
+            messages.encodedDigest.parse(digestCodec.createEncoder(7).encode(value, undefined, undefined));
+        const [before, after] = [encode(sent), encode({ ...sent, room: report })];
+        chai.expect(after).to.have.length(before.length);
+        // Those hosts pass over rows of endpoint usage whose index is not in the header.
+        chai.expect(after[10].slice(0, -3)).to.deep.equal(before[10]);
+        chai.expect(after[10].at(-3)).to.equal(-1);
+        const header = before[2] as messages.DigestHeader;
+        chai.expect(digestCodec.decode(before, header).room).to.equal(undefined);
+        chai.expect(digestCodec.decode(after, header).room).to.deep.equal(report);
+        chai.expect(digestCodec.decode(after, header).endpointUsage).to.deep.equal(sent.endpointUsage);
+    });
+
     it("leaves out entries whose names the header lacks", () => {
         const [sent] = fc.sample(digest, { numRuns: 1, seed: 1 }) as [messages.Digest];
         const encoded = digestCodec.createEncoder(7).encode(sent, undefined, undefined);
--- a/src/proxy/digestcodec.ts
+++ b/src/proxy/digestcodec.ts
@@ -5,6 +5,7 @@
  */
 import type * as limiters from "../core/limiter.js";
 import type * as messages from "./messages.js";
+import * as roomCodec from "./roomcodec.js";
 
 /** Encodes the digests of this host. */
 export interface Encoder {
@@ -104,7 +105,10 @@
                 { group, epoch, answerAgeMs, failingForMs },
             ) => [groups.indexOf(group), epoch, encodeAge(answerAgeMs), encodeAge(failingForMs)]);
             const organisationUsage = encodeOrganisationUsage(digest.organisationUsage);
-            const endpointUsage = encodeEndpointUsage(digest.endpointUsage);
+            const endpointUsage = [
+                ...encodeEndpointUsage(digest.endpointUsage),
+                ...roomCodec.encodeReport(digest.room),
+            ];
             const cellSummaries = digest.cellSummaries.map(entry =>
                 [
                     entry.cell,
@@ -115,6 +119,7 @@
                         entry.suspectedHosts,
                         encodeAge(entry.pollAgeMs),
                         encodeAge(entry.proofAgeMs),
+                        ...roomCodec.encodeCellRooms(entry.rooms),
                     ],
                     encodeOrganisationUsage(entry.organisationUsage),
                     encodeEndpointUsage(entry.endpointUsage),
@@ -214,6 +219,7 @@
         cellSummaries,
         endpointOutcomes,
     ] = encoded;
+    const room = roomCodec.decodeReport(endpointUsage);
     const groupAt = (index: number | undefined): string => header.groups[index ?? absent] ?? "";
     return {
         self: header.self,
@@ -240,8 +246,13 @@
         organisationUsage: decodeOrganisationUsage(organisationUsage, header.organisations),
         endpointUsage: decodeEndpointUsage(endpointUsage, header.endpoints),
         endpointOutcomes: decodeOutcomes(endpointOutcomes, header.endpoints),
+        ...room === undefined ? {} : { room },
         cellSummaries: cellSummaries.map((
-            [cell, [baselineId = 0, ageMs = 0, liveHosts = 0, suspectedHosts = 0, pollAgeMs, proofAgeMs], ...rest],
+            [
+                cell,
+                [baselineId = 0, ageMs = 0, liveHosts = 0, suspectedHosts = 0, pollAgeMs, proofAgeMs, ...cellRooms],
+                ...rest
+            ],
         ) => ({
             cell,
             baselineId,
@@ -253,6 +264,7 @@
             organisationUsage: decodeOrganisationUsage(rest[0], header.organisations),
             endpointUsage: decodeEndpointUsage(rest[1], header.endpoints),
             endpointOutcomes: decodeOutcomes(rest[2], header.endpoints),
+            ...cellRooms.length === 0 ? {} : { rooms: roomCodec.decodeCellRooms(cellRooms) },
         })),
     };
 }
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -25,6 +25,10 @@
     settingsReloaded: { ...stateChange, message: "Settings reloaded." },
     settingsRejected: { ...problem, message: "Settings rejected; the previous ones stay in force." },
     readinessChanged: { ...stateChange, message: "Readiness changed." },
+    roomChanged: {
+        ...stateChange,
+        message: "This host has too little room for duties or new callers, or has it again.",
+    },
     suspended: { ...problem, message: "Clock jump or suspension detected; ages measured before it are discarded." },
     storeLost: { ...problem, message: "The store does not respond." },
     storeRegained: { ...stateChange, message: "The store responds again." },
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -5,11 +5,13 @@
 import * as evidence from "../core/evidence.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as rooms from "../core/room.js";
 import type * as storeReading from "../core/storereading.js";
 import type * as network from "../ports/network.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as messages from "./messages.js";
 import * as remoteCellViews from "./remotecells.js";
+import * as roomViews from "./roomview.js";
 
 /** What is known of another host. */
 export interface Peer {
@@ -50,7 +52,7 @@
 }
 
 /** The part of a digest that describes this host; the gossip adds what this host knows of others. */
-export type LocalDigest = Omit<messages.Digest, "cellSummaries" | "knownMembers" | "self">;
+export type LocalDigest = Omit<messages.Digest, "cellSummaries" | "knownMembers" | "room" | "self">;
 
 /** Settings of the fleet. */
 export interface Options {
@@ -59,6 +61,8 @@
     readonly peers: ReadonlyMap<string, PeerState>;
     /** Random number of this process, which also identifies the baseline of its counts of admitted operations. */
     readonly baselineId: number;
+    /** Room of this host; undefined if it doesn't measure it. */
+    readonly ownRoom?: (() => rooms.Report | undefined) | undefined;
 }
 
 /** The other hosts together. */
@@ -99,6 +103,7 @@
     viewAgeMs(): number;
     /** Ages of the proofs of the other hosts, with one entry for each other cell. */
     peerProofs(): readonly leadership.PeerProof[];
+    readonly rooms: roomViews.RoomView;
 }
 
 /**
@@ -149,6 +154,16 @@
         return cellByHost.get(id) ?? "";
     }
 
+    const roomView = roomViews.createRoomView({
+        self,
+        clock,
+        peers,
+        ownRoom: options.ownRoom ?? (() => undefined),
+        cellOf,
+        idsOf: cell => assignCells().get(cell) ?? [],
+        remoteRooms: cell => remote.rooms(cell, clock.now()),
+    });
+
     /** The other cells, each with the ids of its hosts. */
     function otherCells(): readonly (readonly [string, readonly string[]])[] {
         const ownCell = cellOf(self.id);
@@ -161,7 +176,7 @@
     }
 
     /**
-     * The hosts that are neither leaving nor unreachable, the strongest first. An unreachable host is eligible again, and so
+     * The hosts that are neither leaving nor unreachable: those with room first, then the strongest ones. An unreachable host is eligible again, and so
      * polled again, when its last failed poll is longer ago than `suspectTimeoutMs`.
      */
     function eligibleHosts(ids: readonly string[]): readonly string[] {
@@ -172,7 +187,10 @@
             }
             return !peer.member.leaving && (!peer.unreachable || clock.now() - peer.lastFailedMs > suspectTimeoutMs);
         });
-        const carriers = eligible.map(id => peers.get(id)?.member ?? self);
+        const carriers = eligible.map(id => ({
+            ...peers.get(id)?.member ?? self,
+            strained: roomView.isStrained(id),
+        }));
         return carriers.sort(duties.compare).map(carrier => carrier.id);
     }
 
@@ -233,6 +251,7 @@
         );
         const proofAgeMs = Math.min(digest.proofAgeMs ?? Infinity, ...proofAges);
         const pollAgeMs = Math.max(0, ...pollAges);
+        const cellRooms = roomView.ownCell();
         return {
             cell: cellOf(self.id),
             baselineId: admissionCounter.baselineId(),
@@ -245,6 +264,7 @@
             organisationUsage: admissions.combine([digest.organisationUsage, ...usage], admissionCounter),
             endpointUsage: sumEndpointUsage(digest, live),
             endpointOutcomes: sumOutcomes(digest, live),
+            ...cellRooms === undefined ? {} : { rooms: cellRooms },
         };
     }
 
@@ -356,5 +376,6 @@
             }));
             return [...cellProofs, ...otherCells().map(([name]) => remote.peerProof(name, nowMs))];
         },
+        rooms: roomView,
     };
 }
--- a/src/proxy/gauges.ts
+++ b/src/proxy/gauges.ts
@@ -6,6 +6,7 @@
 import type * as evacuations from "./evacuations.js";
 import type * as failoverLocks from "./failoverlock.js";
 import type * as groups from "./group.js";
+import type * as hostRooms from "./hostroom.js";
 import type * as metrics from "./metrics.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
@@ -20,6 +21,7 @@
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly failoverLock: failoverLocks.HeldLock;
     readonly evacuations: evacuations.Evacuations;
+    readonly hostRoom: hostRooms.HostRoom;
     /** Open connections of callers. */
     readonly callers: number;
 }
@@ -36,6 +38,9 @@
             sources.clusterView.groups().map(group => [group.name, group.choice.spilloverShares()]),
         ),
         callers: sources.callers,
+        load: sources.hostRoom.load(),
+        strained: sources.hostRoom.strained(),
+        inRotation: sources.hostRoom.inRotation(),
         configurationVersion: sources.storeSync.policy().version,
         storeEra: sources.era.current(),
         proofAgeMs: leadership.proofAgeMs(clock.now()),
--- a/src/proxy/host.ts
+++ b/src/proxy/host.ts
@@ -13,6 +13,8 @@
     /** Creates the platform, which reports the result of every call to `count`, and the era of the store to `era`. */
     platform(count: (kind: string, result: string) => void, era: store.Era): platforms.Platform;
     random(): number;
+    /** What the process has used; absent where several hosts share a process. */
+    readonly processUsage?: (() => runtime.ProcessUsage) | undefined;
     /** Identifies this process; a restarted host has another value. */
     readonly incarnation: string;
 }
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -10,6 +10,7 @@
 
 /** Time limit for writing out the last log lines on shutdown. */
 const flushTimeoutMs = 300;
+const microsecondsPerMillisecond = 1_000;
 
 function createClock(): runtime.HostClock {
     return {
@@ -29,6 +30,15 @@
     };
 }
 
+function readProcessUsage(): runtime.ProcessUsage {
+    const { user, system } = process.cpuUsage();
+    return {
+        loopBusyMs: performance.eventLoopUtilization().active,
+        processorMs: (user + system) / microsecondsPerMillisecond,
+        memoryBytes: process.memoryUsage.rss(),
+    };
+}
+
 async function run(): Promise<void> {
     const file = process.argv[2] ?? platform.settingsPath(process.env);
     const settings = settingsFile.load(file);
@@ -45,6 +55,7 @@
         log,
         platform: (count, era) => platform.create(settings.value, log, count, era),
         random: Math.random,
+        processUsage: readProcessUsage,
         incarnation: `${process.pid}-${process.hrtime.bigint()}`,
     });
     const shutDown = (): void => {
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -6,6 +6,7 @@
 import type * as limiters from "../core/limiter.js";
 import type * as positions from "../core/position.js";
 import type * as promotion from "../core/promotion.js";
+import type * as rooms from "../core/room.js";
 import type * as messages from "../ports/messages.js";
 
 /** The description that a host gives of itself. */
@@ -55,6 +56,8 @@
     readonly evacuations?: evacuation.EvacuationSet;
     /** The holder of the failover lock: its fencing token and the host's id; absent if the sender has not heard of any. */
     readonly lockHolder?: readonly [token: number, host: string] | undefined;
+    /** Room of the sender; absent if it doesn't measure it. */
+    readonly room?: rooms.Report | undefined;
 }
 
 /** The state of all hosts of a cell together, as seen by one of them. */
@@ -75,8 +78,21 @@
     readonly organisationUsage: limiters.UsageByOrganisation;
     readonly endpointUsage: Digest["endpointUsage"];
     readonly endpointOutcomes: Digest["endpointOutcomes"];
+    /** Rooms of the cell's hosts; absent from hosts of older versions. */
+    readonly rooms?: CellRooms | undefined;
 }
 
+/** Rooms of the hosts of a cell, in the order of their ids. */
+export interface CellRooms {
+    /** Hash of the ids of the cell's hosts, by which a receiver tells whether it knows the same ones. */
+    readonly idsHash: number;
+    /** Undefined for hosts that are silent or don't report their room. */
+    readonly reports: readonly (CellRoom | undefined)[];
+}
+
+/** Room of a host of another cell. */
+export type CellRoom = Pick<rooms.Report, "spare" | "strained">;
+
 /** Hash and age of a host's endpoint listing, which is the list of all endpoints as read from the store. */
 export interface EndpointListing {
     /** Hash of the listed endpoints: equal for equal listings. */
@@ -146,12 +162,14 @@
     numberList.describe(
         "usage by organisation: organisation, demand in tenths of an operation a second, admitted, remaining",
     ),
-    numberList.describe("usage by endpoint: endpoint, statements, connections"),
+    numberList.describe(
+        "usage by endpoint: endpoint, statements, connections; a row of endpoint -1 holds the room of the sender",
+    ),
     z.array(
         z.tuple([
             z.string().describe("cell"),
             numberList.describe(
-                "baseline, age, live hosts, suspected hosts, time since all were polled, age of the proof",
+                "baseline, age, live hosts, suspected hosts, time since all were polled, age of the proof, rooms of the hosts",
             ),
             numberList.describe("usage by organisation, as above"),
             numberList.describe("usage by endpoint, as above"),
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import * as prometheus from "prom-client";
 import type * as failure from "../core/failure.js";
+import type * as rooms from "../core/room.js";
 import type * as caller from "../ports/caller.js";
 import type * as coldGates from "./coldgate.js";
 import type * as sessions from "./session.js";
@@ -25,6 +26,12 @@
     readonly spilloverShares: Readonly<Record<string, Readonly<Record<"domain" | "region", number>>>>;
     /** Open connections of callers. */
     readonly callers: number;
+    /** Parts of the host's capacity in use; undefined while they aren't known. */
+    readonly load: rooms.Load | undefined;
+    /** True while other hosts take over this host's duties because it lacks room. */
+    readonly strained: boolean;
+    /** False while the host accepts no new callers because it lacks room. */
+    readonly inRotation: boolean;
     readonly configurationVersion: number;
     /** The newest known era of the store; undefined if none. */
     readonly storeEra: number | undefined;
@@ -109,6 +116,9 @@
         ["group", "distance"],
     );
     const callers = gauge("hyssophatch_callers", "Connections of callers.", []);
+    const hostLoad = gauge("hyssophatch_host_load", "Part of the host's capacity in use, from 0 to 1.", ["part"]);
+    const strained = gauge("hyssophatch_host_strained", "1 while others take over duties as this host lacks room.", []);
+    const rotation = gauge("hyssophatch_host_in_rotation", "0 while this host lacks room for new callers.", []);
     const version = gauge("hyssophatch_configuration_version", "Version of the configuration in force.", []);
     const storeEra = gauge("hyssophatch_store_era", "Era of the store: rises when it comes back from a copy.", []);
     const proof = gauge("hyssophatch_record_proof_age_seconds", "Age of the proof of the records.", []);
@@ -148,6 +158,11 @@
                 Object.entries(shares).forEach(([distance, value]) => spillover.set({ group, distance }, value))
             );
             callers.set(gauges.callers);
+            Object.entries(gauges.load ?? {}).forEach(([part, value]: [string, number]) =>
+                hostLoad.set({ part }, value)
+            );
+            strained.set(gauges.strained ? 1 : 0);
+            rotation.set(gauges.inRotation ? 1 : 0);
             version.set(gauges.configurationVersion);
             storeEra.set(gauges.storeEra ?? 0);
             proof.set(seconds(gauges.proofAgeMs));
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -3,6 +3,7 @@
 import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
+import type * as rooms from "../core/room.js";
 import type * as storeReading from "../core/storereading.js";
 import type * as rpc from "../ports/messages.js";
 import type * as network from "../ports/network.js";
@@ -12,6 +13,7 @@
 import * as fleets from "./fleet.js";
 import * as holderLists from "./holderlist.js";
 import * as messages from "./messages.js";
+import type * as roomViews from "./roomview.js";
 
 /** Settings of the gossip. */
 export interface Options {
@@ -25,6 +27,8 @@
     random(): number;
     /** The digest of this host. */
     localDigest(): fleets.LocalDigest;
+    /** Room of this host; undefined if it doesn't measure it. */
+    room?(): rooms.Report | undefined;
     /**
      * True while this host can't get a proof that the records of primaries are in force. Whether the store is away for all
      * hosts or only for this one can then be told only from young polls of all hosts.
@@ -73,6 +77,8 @@
     actingHosts(): Pick<storeReading.Layout, "ownCell" | "firstOfCells">;
     /** Sorted ids of all hosts that may hold connections to endpoints, this one included; the same array while unchanged. */
     connectionHolders(): readonly string[];
+    /** Rooms of the hosts. */
+    readonly rooms: roomViews.RoomView;
     start(): void;
     /** Polls the hosts of this host's cell now, rather than in the course of the next round. */
     pollNow(): void;
@@ -104,7 +110,7 @@
     const hostBySender = new Map<number, string>();
     const processNumber = Math.floor(options.random() * processNumberRange);
     const encoder = digestCodec.createEncoder(processNumber);
-    const fleet = fleets.createFleet({ self, clock, peers, baselineId: processNumber });
+    const fleet = fleets.createFleet({ self, clock, peers, baselineId: processNumber, ownRoom: options.room });
     const isSuspected = fleets.createFailureDetector(clock);
     let stopRounds: (() => void) | undefined;
     let pollsInFlight = new Set<string>();
@@ -194,7 +200,8 @@
         const usage = receiver !== undefined && fleet.isOfOtherCell(receiver.member.id)
             ? { organisationUsage: {}, endpointUsage: {}, endpointOutcomes: {} }
             : {};
-        const digest = { ...localDigest, ...usage, self: options.self(), knownMembers, cellSummaries };
+        const room = options.room?.();
+        const digest = { ...localDigest, ...usage, self: options.self(), room, knownMembers, cellSummaries };
         return encoder.encode(digest, acknowledgedHeader, receiver?.header?.number);
     }
 
@@ -355,6 +362,7 @@
         actingHosts: () => fleet.actingHosts(),
         peerProofs: () => fleet.peerProofs(),
         connectionHolders,
+        rooms: fleet.rooms,
         start() {
             runRound();
             let ticks = 0;
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -5,6 +5,7 @@
 import type * as clusterViews from "./clusterview.js";
 import type * as evacuations from "./evacuations.js";
 import type * as eventLogs from "./events.js";
+import * as hostRooms from "./hostroom.js";
 import type * as gossip from "./peers.js";
 import type * as readinessStates from "./readinessstate.js";
 import type * as storeNewsExchange from "./storenews.js";
@@ -17,6 +18,7 @@
     readonly activity: activities.ActivityCounter;
     readonly clusterView: clusterViews.ClusterView;
     readonly evacuations: evacuations.Evacuations;
+    readonly hostRoom: hostRooms.HostRoom;
     readonly limiter: limiters.Limiter;
     readonly peers: gossip.Peers;
     readonly readiness: readinessStates.Readiness;
@@ -25,7 +27,6 @@
 }
 
 const checkIntervalMs = 100;
-const usageReportIntervalMs = 250;
 /** Time after which a host that knows of no other assumes that it is the only one. */
 const singleHostTimeoutMs = 2_000;
 const activityReportIntervalMs = 5_000;
@@ -44,7 +45,9 @@
             components.evacuations.check();
             components.readiness.report();
         }),
-        clock.every(usageReportIntervalMs, () => {
+        // The limiter's reports are applied with the measurement of the room, as each timer costs processor time.
+        clock.every(hostRooms.checkIntervalMs, () => {
+            components.hostRoom.check();
             if (peers.all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
                 limiter.applyReports(peers.usageReports(), clock.now());
             }
@@ -54,7 +57,7 @@
             events.reportOmitted();
             const report = components.activity.flush(components.storeSync.policy(), clock.now());
             if (report !== undefined) {
-                events.emit("measured", { ...report });
+                events.emit("measured", { ...report, load: components.hostRoom.load() });
             }
         }),
     ];
--- a/src/proxy/readingschedule.ts
+++ b/src/proxy/readingschedule.ts
@@ -2,6 +2,7 @@
  * When this host calls the store. The hosts of a fleet of one cell read in turn, as the digests that they exchange carry
  * what each of them has read. In a larger fleet one host reads for all, see `core/storereading`.
  */
+import * as duties from "../core/duties.js";
 import * as registrationLives from "../core/registrationlife.js";
 import type * as storeReading from "../core/storereading.js";
 import * as storeNews from "./storenews.js";
@@ -115,6 +116,12 @@
         return state.nowMs - staleAtMs;
     }
 
+    /** True if a host of the same cell polls the store before this one: those with room do so in the order of their ids. */
+    function precedes(id: string): boolean {
+        const { isStrained } = peers().rooms;
+        return isStrained(id) === isStrained(selfId()) ? id < selfId() : !isStrained(id);
+    }
+
     /** Rank of this host among those that poll the store for a single cell; `pollerCount` if it is not one of them. */
     function pollRank(): number {
         const candidates = peers().live()
@@ -122,7 +129,7 @@
                 (peer.digest?.storeResponseAgeMs ?? Infinity) < maxStoreResponseAgeMs && !peer.member.leaving
             )
             .map(peer => peer.member.id);
-        return Math.min(candidates.filter(id => id < selfId()).length, pollerCount);
+        return Math.min(candidates.filter(precedes).length, pollerCount);
     }
 
     function isKeyReadDueInCell(sinceReadMs: number): boolean {
@@ -180,11 +187,12 @@
         registrationLife: () => registrationLives.lifeOf(peers().all().length + 1, peers().cellCount()),
         lockRank() {
             const state = news.readingState();
+            const strained = peers().rooms.isStrained(selfId());
             if (state !== undefined) {
-                return state.place.rank;
+                return duties.acquisitionRank(state.place.rank, strained);
             }
             const ids = peers().live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
-            return ids.filter(id => id < selfId()).length;
+            return duties.acquisitionRank(ids.filter(id => id < selfId()).length, strained);
         },
     };
 }
--- a/src/proxy/remotecells.ts
+++ b/src/proxy/remotecells.ts
@@ -36,6 +36,8 @@
     endpointUsage(endpoint: string, nowMs: number): readonly [load: number, connections: number];
     /** Outcomes of recent statements of all other cells at an endpoint. */
     endpointOutcomes(endpoint: string, nowMs: number): evidence.Outcomes;
+    /** Rooms of the hosts of a cell, and their age; undefined without a summary that is recent enough. */
+    rooms(cell: string, nowMs: number): { readonly rooms: messages.CellRooms; readonly ageMs: number } | undefined;
     /** Discards all cells but these, and outdated summaries. */
     retain(cells: ReadonlySet<string>, nowMs: number): void;
 }
@@ -162,6 +164,12 @@
             }
             return total;
         },
+        rooms(cell, nowMs) {
+            const newest = newestSummary(cell, nowMs);
+            return newest?.summary.rooms === undefined
+                ? undefined
+                : { rooms: newest.summary.rooms, ageMs: nowMs - newest.observedAtMs };
+        },
         retain(names, nowMs) {
             for (const [name, { summaryBySender }] of cells) {
                 if (!names.has(name)) {
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -5,6 +5,7 @@
 import type * as failure from "../core/failure.js";
 import type * as limits from "../core/limits.js";
 import type * as permits from "../core/permits.js";
+import type * as messages from "./messages.js";
 
 const millisecondsPerSecond = 1_000;
 
@@ -36,6 +37,9 @@
     /** Processor capacity: a share of each core, and how many cores' speed the host has. Strong hosts carry the duties. */
     processor: z.object({ share: z.number().positive(), cores: z.number().positive() }).readonly()
         .default({ share: 1, cores: 1 }),
+    /** Memory from which the process is ended, and capacity of the host's link in each direction. */
+    memoryMegabytes: z.number().positive().optional(),
+    linkMegabitsPerSecond: z.number().positive().optional(),
     /** When reads leave the failure domain or the region for endpoints elsewhere. */
     spillover: z.object({
         /** Part of the time until its route's latency target that a read may be expected to take before it leaves. */
@@ -68,6 +72,18 @@
 /** Settings of one host. */
 export type Settings = z.infer<typeof schema>;
 
+/** The description that a host gives of itself to others. */
+export function memberOf(settings: Settings, incarnation: string): messages.Member {
+    return {
+        id: settings.id,
+        address: `${settings.peers.host}:${settings.peers.port}`,
+        failureDomain: settings.failureDomain,
+        incarnation,
+        leaving: false,
+        capacity: settings.processor.share * settings.processor.cores,
+    };
+}
+
 /** By how much a window of an organisation's operations may exceed its limit. */
 export function toleranceOf(settings: Settings): limits.Tolerance {
     return {
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -1,8 +1,10 @@
 /** Hosts of the product without their callers, over a simulated store, network and endpoints. */
 import * as neverthrow from "neverthrow";
 import * as directories from "../src/core/directory.js";
+import * as duties from "../src/core/duties.js";
 import * as leaderships from "../src/core/leadership.js";
 import * as limiters from "../src/core/limiter.js";
+import type * as rooms from "../src/core/room.js";
 import * as storeEra from "../src/core/storeera.js";
 import type * as connections from "../src/ports/connection.js";
 import * as clusterViews from "../src/proxy/clusterview.js";
@@ -47,6 +49,8 @@
     readonly store: simulation.Store;
     readonly endpoints: readonly simulatedEndpoints.Endpoint[];
     readonly hosts: Host[];
+    /** What hosts say of their room, if it isn't the usual; undefined for a host of an older version. */
+    readonly rooms: Map<number, rooms.Report | undefined>;
     readonly promotions: readonly simulatedEndpoints.Promotion[];
     /** Events of all hosts, in order. */
     readonly events: readonly (readonly [host: number, name: eventLogs.EventName])[];
@@ -70,6 +74,7 @@
     readonly source: configurationTransfer.Source;
 }
 
+const usualRoom: rooms.Report = { spare: 0.7, strained: false, inRotation: true, claim: undefined };
 const silent = { kind: "unreachable" as const };
 
 /** A sequence of numbers in [0, 1) that is the same each time. */
@@ -97,6 +102,7 @@
     );
     const events: (readonly [number, eventLogs.EventName])[] = [];
     const running: Running[] = [];
+    const roomByHost = new Map<number, rooms.Report | undefined>();
     let starts = 0;
 
     const put = (version: number): void => simulatedStore.put("op/config", String(version));
@@ -179,6 +185,7 @@
             events: eventLog,
             random,
             localDigest: () => clusterView.localDigest(),
+            room: () => (roomByHost.has(host) ? roomByHost.get(host) : usualRoom),
             isUrgent: () => clusterView.lacksProof(),
             onDigest: (digest, requestedAtMs) => clusterView.mergeDigest(digest, requestedAtMs),
         });
@@ -279,6 +286,11 @@
             }),
             schedule,
             groups: () => clusterView.groups(),
+            shouldHandOver: () =>
+                duties.shouldHandOver(
+                    peers.rooms.isStrained(self.id),
+                    peers.live().map(peer => peers.rooms.claimToDuties(peer.member.id)),
+                ),
         });
         const coldGate = coldGates.createColdGate({
             self: self.id,
@@ -350,6 +362,7 @@
         endpoints,
         promotions,
         events,
+        rooms: roomByHost,
         hosts: [] as Host[],
         start(host: number) {
             faults.down.delete(host);
