--- a/src/platform/callers.ts
+++ b/src/platform/callers.ts
@@ -24,6 +24,8 @@
     count(): number;
     /** Number of connections with a request running or a transaction open. */
     busy(): number;
+    /** Bytes received and sent since the start. */
+    byteCount(): number;
     /**
      * Closes the connections that have neither a request running nor a transaction open, and from now on each other one as
      * soon as that is true of it.
@@ -52,6 +54,7 @@
     const connections = new Set<Connection>();
     /** True once connections are closed as they become idle. */
     let draining = false;
+    let byteCount = 0;
 
     function accept(socket: net.Socket): void {
         const connection: Connection = { socket, session: undefined, running: false, closing: false };
@@ -71,6 +74,7 @@
         }
 
         function send(text: string): void {
+            byteCount += text.length;
             if (!socket.destroyed) {
                 socket.write(text, wire.encoding);
             }
@@ -144,6 +148,7 @@
         }
 
         socket.on("data", (chunk: string) => {
+            byteCount += chunk.length;
             if (connection.closing) {
                 return;
             }
@@ -181,6 +186,7 @@
         count: () => connections.size,
         busy: () =>
             [...connections].filter(connection => connection.running || connection.session?.idle() === false).length,
+        byteCount: () => byteCount,
         closeIdle() {
             draining = true;
             connections.forEach(closeIfIdle);
