Relay statements and transactions to the hosts that hold connections

To the executor a relay is a connection: SET, PREPARE and RESET stay at the host, and a statement travels once with its variables, template, floor, time left and priority. The holder takes a connection from its own pool. A transaction keeps its connection under a handle and a lease of 3 s. What a holder declines was not sent; a holder that falls silent with a write or COMMIT leaves its outcome unknown. Failures between hosts don't count as failures of the endpoint. The host that relays keeps its checks of the primary before and after.

Conclusion: off by default until the hop is cheaper.

--- a/src/ports/connection.ts
+++ b/src/ports/connection.ts
@@ -52,6 +52,8 @@
         | { readonly kind: "refused"; readonly refusal: Refusal; readonly text: string };
     readonly state: caller.State;
     readonly position: positions.Position | undefined;
+    /** Time that the endpoint took, in milliseconds, when another host sent the request; else the caller measures it. */
+    readonly executionMs?: number;
 }
 
 /** Failure of a request that got no complete reply. */
@@ -61,6 +63,8 @@
     /** True when the time limit expired; the endpoint may be slow rather than down. */
     readonly timedOut: boolean;
     readonly message: string;
+    /** True when another host was to send the request: this host has learnt nothing of the endpoint. */
+    readonly relayed?: boolean;
 }
 
 /** Replication status that an endpoint reports. */
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -15,6 +15,7 @@
 import * as callerServices from "./callerservice.js";
 import * as clusterViews from "./clusterview.js";
 import * as coldGates from "./coldgate.js";
+import * as connectionSharing from "./connectionsharing.js";
 import * as coordinators from "./coordinator.js";
 import type * as evacuationViews from "./evacuations.js";
 import * as eventLogs from "./events.js";
@@ -38,20 +39,9 @@
 import * as restorers from "./restoration.js";
 import * as settingsFile from "./settings.js";
 import * as storeSyncs from "./storesync.js";
+import * as timings from "./timings.js";
 import * as transactions from "./transactions.js";
 
-/**
- * Age up to which a proof of the records is valid: three polls of the store, of which one may be lost. A replacement of
- * a primary waits at most this long for hosts that can't be reached.
- */
-const maxProofAgeMs = 1_500;
-/** Time that statements in flight at a primary being replaced get to finish; covers several statements. */
-const handoverGraceMs = 150;
-/** Time for which a missing endpoint is kept; after an outage, entries return within two seconds. */
-const missingGraceMs = 2_500;
-/** Gap between endpoint listings that counts as an outage: two listings lost. */
-const outageGapMs = 2_500;
-
 /** Assembles a host. Nothing runs until `start` is called. */
 export function createHost(environment: hosts.Environment): hosts.Host {
     const { settings, clock, log } = environment;
@@ -66,7 +56,7 @@
         capacity: settings.processor.share * settings.processor.cores,
     };
     let callers: callerDrain.CallerListener | undefined;
-    let stopping = false;
+    let stoppingSinceMs: number | undefined;
     let refusesLogins = false;
     let stopTasks: (() => void) | undefined;
     let peerServer: grpc.Server | undefined;
@@ -91,9 +81,9 @@
     ).inSingletonScope();
     container.bind(id.network).toDynamicValue(() => grpc.createNetwork()).inSingletonScope();
     container.bind(id.leadership).toConstantValue(
-        leaderships.createLeadership({ maxProofAgeMs, graceMs: handoverGraceMs }),
+        leaderships.createLeadership({ maxProofAgeMs: timings.maxProofAgeMs, graceMs: timings.handoverGraceMs }),
     );
-    container.bind(id.directory).toConstantValue(directories.createDirectory({ missingGraceMs, outageGapMs }));
+    container.bind(id.directory).toConstantValue(directories.createDirectory(timings));
     container.bind(id.limiter).toConstantValue(
         limiters.createLimiter({
             tolerance: settingsFile.toleranceOf(settings),
@@ -173,7 +163,7 @@
             regionByFailureDomain: settings.failureDomains,
             clock,
             era,
-            handoverGraceMs,
+            handoverGraceMs: timings.handoverGraceMs,
             events: events(),
             leadership: leadership(),
             directory: directory(),
@@ -183,6 +173,7 @@
             queryStatus: async endpoint =>
                 (await container.get<probers.Prober>(id.prober).statuses([endpoint])).get(endpoint.id),
             coldGate: coldGate(),
+            sharing: sharing(),
             random: environment.random,
             self: () => self,
             peers,
@@ -202,6 +193,19 @@
             noClockJumpSince: sinceMs => clusterView().noClockJumpSince(sinceMs),
         })
     ).inSingletonScope();
+    container.bind(id.sharing).toDynamicValue(() =>
+        connectionSharing.createConnectionSharing({
+            ...common(),
+            ...settings.connectionHolders,
+            directory: directory(),
+            evacuations: evacuations(),
+            random: environment.random,
+            regionOf: domain => settings.failureDomains[domain],
+            self: () => self,
+            peers,
+            group: name => clusterView().group(name),
+        })
+    ).inSingletonScope();
     container.bind(id.failoverLock).toConstantValue(
         failoverLocks.createHeldLock({ clock, store: () => platform().store, storeSync: () => storeSync() }),
     );
@@ -219,7 +223,7 @@
             hostId: settings.id,
             promotions: platform().promotions,
             leadership: leadership(),
-            maxProofAgeMs,
+            maxProofAgeMs: timings.maxProofAgeMs,
             applyRecord: record => clusterView().applyRecord(record),
             applyAndFence: record => clusterView().applyAndFence(record),
         })
@@ -266,6 +270,7 @@
     const leadership = (): leaderships.Leadership => container.get(id.leadership);
     const directory = (): directories.Directory => container.get(id.directory);
     const coldGate = (): coldGates.ColdGate => container.get(id.coldGate);
+    const sharing = (): connectionSharing.ConnectionSharing => container.get(id.sharing);
     const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
@@ -295,6 +300,7 @@
         events: events(),
         clusterView: clusterView(),
         coldGate: coldGate(),
+        sharing: sharing(),
         storeSync: storeSync(),
         storeNews: reading().news,
         peers: peers(),
@@ -308,7 +314,7 @@
 
     const readinessState = readinessStates.createReadiness({
         events,
-        stopping: () => stopping,
+        stopping: () => stoppingSinceMs !== undefined,
         conditions: () => ({
             configuration: storeSync().policy().version > 0,
             endpoints: directory().all().length > 0,
@@ -348,6 +354,8 @@
         start() {
             stopTasks = periodicTasks.start({ ...components(), activity, readiness: readinessState });
         },
+        // Transactions of other hosts get the same part of the grace to end as those of callers.
+        drain: () => sharing().drain((stoppingSinceMs ?? clock.now()) + settings.graceMs / 2),
         close: () => stopTasks?.(),
     });
     lifecycle.add(callerServices.createCallerService({
@@ -358,7 +366,7 @@
         login: () => container.get<caller.Login>(id.login),
         ready: readinessState.ready,
         onDrain() {
-            stopping = true;
+            stoppingSinceMs = clock.now();
             self = { ...self, leaving: true };
             readinessState.report();
         },
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -13,6 +13,7 @@
 import type * as store from "../ports/store.js";
 import type * as coldGates from "./coldgate.js";
 import * as configurationTransfer from "./configurationtransfer.js";
+import type * as connectionSharing from "./connectionsharing.js";
 import type * as coordinators from "./coordinator.js";
 import type * as endpointChoices from "./endpointchoice.js";
 import * as endpointTransfer from "./endpointtransfer.js";
@@ -46,6 +47,8 @@
     /** Queries the status of an endpoint, outside of any request; undefined without one. */
     queryStatus(endpoint: directories.Endpoint): Promise<connections.Status | undefined>;
     readonly coldGate: coldGates.ColdGate;
+    /** Connections that hosts hold for each other; undefined if each has only its own. */
+    readonly sharing?: connectionSharing.ConnectionSharing;
     /** A random number in [0, 1). */
     random(): number;
     self(): messages.Member;
@@ -188,6 +191,7 @@
             endpoints: () => directory.inGroup(name),
             evacuations: options.evacuations,
             queryStatus: options.queryStatus,
+            relaying: options.sharing?.relaying,
         });
         groups.set(name, created);
         created.reconcileEndpoints();
@@ -197,13 +201,14 @@
     function shareOf(name: string, endpoint: string): connectionShares.Share {
         const maxConnections = (storeSync().policy().groups.get(name)?.maxConnections ?? 1) - reservedConnections;
         const openConnections = peers().endpointUsage(endpoint)[1] + (groups.get(name)?.pool(endpoint)?.size() ?? 0);
-        return allocator.allocate(
+        const share = allocator.allocate(
             maxConnections,
             endpoint,
             peers().connectionHolders(),
             options.self().id,
             openConnections,
         );
+        return options.sharing?.adjust(endpoint, maxConnections, share) ?? share;
     }
 
     function configurationChanged(): void {
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -162,7 +162,8 @@
                 evidence.record(failed, clock.now());
             }
             if (executed) {
-                const observedMs = Math.max(0, clock.now() - requestedAtMs - options.roundTripMs);
+                const observedMs = reply.executionMs
+                    ?? Math.max(0, clock.now() - requestedAtMs - options.roundTripMs);
                 serviceMs += (observedMs - serviceMs) * serviceSmoothing;
             }
         },
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -67,6 +67,12 @@
     statementFailed: { ...problem, message: "Statement failed." },
     statementRetried: { ...problem, message: "Statement retried." },
     statementServed: { ...served, message: "Statement served." },
+    statementRelayed: { ...served, message: "A host that holds connections to the endpoint ran the statement." },
+    relayMissed: { ...problem, message: "A host that holds connections to the endpoint did not run the statement." },
+    relayExpired: {
+        ...problem,
+        message: "A transaction was rolled back, as the host that it is for has fallen silent.",
+    },
     measured: { ...stateChange, message: "Activity of this host since the previous report." },
     transactionLost: { ...problem, message: "Transaction rolled back." },
 } as const satisfies Readonly<Record<string, Definition>>;
--- a/src/proxy/executor.ts
+++ b/src/proxy/executor.ts
@@ -54,7 +54,7 @@
     ): Promise<neverthrow.Result<statements.EndpointReply, FailedAttempt>> {
         const { group } = context;
         const { endpoint } = placement;
-        const acquired = await selection.acquireConnection(placement, context);
+        const acquired = await selection.acquireConnection(statement.mode, placement, context);
         if (acquired.isErr()) {
             return neverthrow.err({ cause: acquired.error, retryable: true });
         }
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -22,6 +22,7 @@
 import type * as events from "./events.js";
 import type * as pools from "./pool.js";
 import * as primaryWaiters from "./primarywaiters.js";
+import type * as relays from "./relay.js";
 import * as sampleQueries from "./samplequery.js";
 import * as workInProgresses from "./workinprogress.js";
 
@@ -48,6 +49,18 @@
     queryStatus(endpoint: directory.Endpoint): Promise<connections.Status | undefined>;
     /** Whether an endpoint is cold, and when it has room for a request. */
     coldState(endpoint: string): placement.ColdState;
+    /** Connections that other hosts hold; undefined on a host that shares none. */
+    readonly relaying: Relaying | undefined;
+}
+
+/** Use of connections that other hosts hold. */
+export interface Relaying {
+    /** A connection to the endpoint that another host holds; undefined if this host is to use one of its own. */
+    connect(request: relays.Request): pools.PooledConnection | undefined;
+    /** True if this host may keep idle connections to the endpoint. */
+    keeps(endpoint: string): boolean;
+    /** True if some hosts hold the connections to the endpoint. */
+    hasHolders(endpoint: string): boolean;
 }
 
 /** What a statement requires of the endpoint that runs it. */
@@ -91,6 +104,7 @@
     /** Chooses the endpoint for a statement; fails when no primary is known or no endpoint can serve the read. */
     place(request: PlacementRequest): Result<Placement>;
     pool(endpoint: string): pools.Pool | undefined;
+    readonly relaying: Relaying | undefined;
     /** False once the rest of the endpoint's transactions has to be rolled back, because its failure domain is evacuated. */
     mayContinue(endpoint: string): boolean;
     /** Updates the statistics of an endpoint with a reply, and adds a sample if the endpoint is the primary. */
@@ -104,7 +118,7 @@
     recordFailure(
         endpoint: string,
         requestedAtMs: number,
-        error: Pick<connections.ConnectionError, "timedOut" | "message">,
+        error: Pick<connections.ConnectionError, "message" | "relayed" | "timedOut">,
     ): void;
     /** True while the endpoint is certain to be the primary, so that it may be given new work. */
     isPrimary(endpoint: string): boolean;
@@ -175,6 +189,7 @@
         view,
         findView: endpoint => views.get(endpoint),
         distanceTo: failureDomain => distanceTo(failureDomain),
+        hasHolders: endpoint => options.relaying?.hasHolders(endpoint) ?? false,
         isRationed: listed => eligibility.isRationed(listed),
         isPrimary: endpoint => leadership.find(name)?.primary === endpoint,
     });
@@ -314,6 +329,7 @@
             });
         },
         pool: endpoint => views.get(endpoint)?.pool,
+        relaying: options.relaying,
         mayContinue: endpoint => eligibility.mayContinue(endpoint),
         recordReply(endpoint, reply, requestedAtMs, context) {
             views.get(endpoint)?.recordReply(reply, requestedAtMs, context);
@@ -322,7 +338,11 @@
                 recentSamples.add({ position: reply.position, requestedAtMs });
             }
         },
-        recordFailure: (endpoint, requestedAtMs, error) => views.get(endpoint)?.recordFailure(requestedAtMs, error),
+        recordFailure(endpoint, requestedAtMs, error) {
+            if (error.relayed !== true) {
+                views.get(endpoint)?.recordFailure(requestedAtMs, error);
+            }
+        },
         minStatementMs: endpoint => views.get(endpoint)?.minStatementMs() ?? 0,
         isPrimary: endpoint => leadership.isPrimary(name, endpoint, clock.now()),
         mayAcknowledge: endpoint => leadership.mayAcknowledge(name, endpoint, clock.now()),
--- a/src/proxy/identifiers.ts
+++ b/src/proxy/identifiers.ts
@@ -7,6 +7,7 @@
 export const directory = Symbol.for("directory");
 export const limiter = Symbol.for("limiter");
 export const coldGate = Symbol.for("coldGate");
+export const sharing = Symbol.for("sharing");
 export const peers = Symbol.for("peers");
 export const places = Symbol.for("places");
 export const storeSync = Symbol.for("storeSync");
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -4,6 +4,7 @@
 import type * as failure from "../core/failure.js";
 import type * as caller from "../ports/caller.js";
 import type * as coldGates from "./coldgate.js";
+import type * as relays from "./relay.js";
 import type * as sessions from "./session.js";
 
 /** Values of the gauges about what this host has learnt from the store. */
@@ -35,7 +36,7 @@
 }
 
 /** Metrics of one host. */
-export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics {
+export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics, relays.RelayMetrics {
     /** Counts a call to the platform. */
     countPlatformCall(kind: string, result: string): void;
     /** Counts that the store came back from an older copy. */
@@ -101,6 +102,12 @@
         labelNames: ["result"],
         registers,
     });
+    const relayed = new prometheus.Counter({
+        name: "hyssophatch_statements_relayed_total",
+        help: "Statements passed to a host that holds connections to the endpoint, by result.",
+        labelNames: ["result"],
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const spillover = gauge(
@@ -135,6 +142,7 @@
             latency.observe({ database, outcome: "refused" }, elapsedMs / 1_000);
         },
         permitAsked: result => permits.inc({ result }),
+        relayed: result => relayed.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
         countNews: result => news.inc({ result }),
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -6,8 +6,10 @@
 import type * as clusterViews from "./clusterview.js";
 import type * as coldGates from "./coldgate.js";
 import * as configurationTransfer from "./configurationtransfer.js";
+import type * as connectionSharing from "./connectionsharing.js";
 import * as messages from "./messages.js";
 import type * as gossip from "./peers.js";
+import * as relayMessages from "./relaymessages.js";
 import type * as storeNews from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
 
@@ -19,11 +21,13 @@
     readonly clusterView: clusterViews.ClusterView;
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNews.StoreNews;
+    readonly sharing: connectionSharing.ConnectionSharing;
 }
 
 /** Creates the handlers of all calls between hosts: digests, records, news of the store, configuration, endpoints. */
 export function createHandlers(options: Options): readonly network.Handler[] {
     const { clock, peers, clusterView, storeSync } = options;
+    const relayService = options.sharing.service;
     const configurationSource = configurationTransfer.createSource(storeSync.configuration);
     return [
         grpc.handle(messages.peer.exchange, async digest => neverthrow.ok(peers.handleExchange(digest))),
@@ -46,6 +50,15 @@
                 ageMs: endpointListing.summary(clock.now())?.ageMs,
             });
         }),
+        grpc.handle(relayMessages.methods.run, async request => neverthrow.ok(await relayService.run(request))),
+        grpc.handle(
+            relayMessages.methods.continue,
+            async request => neverthrow.ok(await relayService.continue(request)),
+        ),
+        grpc.handle(relayMessages.methods.upkeep, async request => {
+            relayService.upkeep(request);
+            return neverthrow.ok({});
+        }),
         grpc.handle(messages.peer.news, async question => neverthrow.ok(await options.storeNews.answer(question))),
     ];
 }
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -3,6 +3,7 @@
 import type * as runtime from "../ports/runtime.js";
 import type * as activities from "./activity.js";
 import type * as clusterViews from "./clusterview.js";
+import type * as connectionSharing from "./connectionsharing.js";
 import type * as evacuations from "./evacuations.js";
 import type * as eventLogs from "./events.js";
 import type * as gossip from "./peers.js";
@@ -22,6 +23,7 @@
     readonly readiness: readinessStates.Readiness;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly storeSync: storeSyncs.StoreSync;
+    readonly sharing: connectionSharing.ConnectionSharing;
 }
 
 const checkIntervalMs = 100;
@@ -30,6 +32,8 @@
 const singleHostTimeoutMs = 2_000;
 const activityReportIntervalMs = 5_000;
 const peerRefreshIntervalMs = 1_000;
+/** Interval of the leases of transactions on connections of other hosts. */
+const leaseIntervalMs = 1_000;
 
 /** Starts the tasks; the returned function ends them. */
 export function start(components: Components): () => void {
@@ -44,6 +48,10 @@
             components.evacuations.check();
             components.readiness.report();
         }),
+        clock.every(leaseIntervalMs, () => {
+            components.sharing.renew();
+            components.sharing.service.sweep();
+        }),
         clock.every(usageReportIntervalMs, () => {
             if (peers.all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
                 limiter.applyReports(peers.usageReports(), clock.now());
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -45,11 +45,22 @@
     return failure.create(failure.Code.replicaBehind, group, message, statements.retryAfterMs);
 }
 
-/** Acquires a connection to the selected endpoint; waits for a free one if necessary. */
+/** Acquires a connection to the selected endpoint, of this host or another; waits for a free one if necessary. */
 export async function acquireConnection(
+    mode: caller.Mode,
     placement: groups.Placement,
     context: statements.Context,
 ): Promise<Result<pools.PooledConnection>> {
+    const { relaying } = context.group;
+    const relayed = relaying?.connect({
+        endpoint: placement.endpoint,
+        needsPrimary: mode === "write" || placement.minPosition === undefined,
+        context,
+        targetMs: statements.targetMs(context),
+    });
+    if (relayed !== undefined) {
+        return neverthrow.ok(relayed);
+    }
     const pool = context.group.pool(placement.endpoint);
     if (pool === undefined) {
         const message = `Endpoint ${placement.endpoint} is no longer listed, or its failure domain is evacuated.`;
@@ -60,11 +71,15 @@
     const { organisation, variables } = context;
     // Without enough time left for the statement, a connection would only lead to a time-out during execution.
     const deadlineMs = context.deadlineMs - context.group.minStatementMs(placement.endpoint);
-    return pool.acquire({
+    const acquired = await pool.acquire({
         organisation,
         variables,
         deadlineMs,
         targetMs: statements.targetMs(context),
         priority: context.route.priority,
     });
+    // Where other hosts hold the connections, one that this host had to open takes the place of theirs.
+    return relaying?.keeps(placement.endpoint) === false
+        ? acquired.map(pooled => ({ ...pooled, release: () => pooled.discard() }))
+        : acquired;
 }
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -62,6 +62,14 @@
      * milliseconds; absent on a platform without evacuations.
      */
     evacuateMs: z.number().min(0).optional(),
+    /**
+     * Whether and from how many hosts on some of them hold the connections for all, where there are fewer connections than
+     * one an organisation and host.
+     */
+    connectionHolders: z.object({
+        enabled: z.boolean().default(false),
+        minHosts: z.number().int().min(2).default(17),
+    }).readonly().default({ enabled: false, minHosts: 17 }),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -55,7 +55,7 @@
 export const minAttemptMs = 20;
 
 /** Time until the statement's deadline, in milliseconds; negative after it. */
-export function remainingMs(context: Context, clock: runtime.Clock): number {
+export function remainingMs(context: Pick<Context, "deadlineMs">, clock: runtime.Clock): number {
     return context.deadlineMs - clock.now();
 }
 
@@ -80,7 +80,7 @@
  */
 export async function setUpConnection(
     pooled: pools.PooledConnection,
-    context: Context,
+    context: Pick<Context, "deadlineMs" | "variables">,
     statement: Statement | undefined,
     clock: runtime.Clock,
 ): Promise<boolean> {
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -73,7 +73,7 @@
     ): Promise<Result<Transaction>> {
         const { group } = context;
         const { endpoint, minPosition, primary } = placement;
-        const acquired = await selection.acquireConnection(placement, context);
+        const acquired = await selection.acquireConnection(readOnly ? "read" : "write", placement, context);
         if (acquired.isErr()) {
             return neverthrow.err(acquired.error);
         }
