Relay only what gains by it: rare statements outside of transactions

A host uses an idle connection of its own first, and opens one for statements that come more often than each 1.4 s; it is closed 2 s after the last one. Transactions open their own connection, unless the settings say otherwise.

--- a/src/core/connectionholders.test.ts
+++ b/src/core/connectionholders.test.ts
@@ -143,6 +143,13 @@
         chai.expect(moved.every(name => holderOf(hosts, name) === "host-0")).to.equal(true);
     });
 
+    it("leave frequent statements to the host that they reach", () => {
+        const frequencies = holders.createFrequencies();
+        const at = (nowMs: number, organisation = "o1"): boolean => frequencies.note("i-1", organisation, nowMs);
+        chai.expect([at(0), at(100, "o2"), at(1_000), at(1_500)]).to.deep.equal([false, false, true, true]);
+        chai.expect([at(9_000), at(10_500), at(13_500)]).to.deep.equal([false, false, false]);
+    });
+
     it("open less than half as many connections at 70 hosts, 77 organisations and 18 endpoints of 70 connections", () => {
         const [before, after] = [newConnections(false), newConnections(true)];
         if (process.env["LOG"] === "1") {
--- a/src/core/connectionholders.ts
+++ b/src/core/connectionholders.ts
@@ -159,3 +159,34 @@
         },
     };
 }
+
+/** How often statements of each organisation for each endpoint reach one host. */
+export interface Frequencies {
+    /** Counts a statement; returns true if they come so often that a connection of the host's own would be used again. */
+    note(endpoint: string, organisation: string, nowMs: number): boolean;
+}
+
+/** Time over which statements are counted, and the time for which a connection is kept for the next one. */
+export const frequencyWindowMs = 2_000;
+/** Decayed count from which statements are frequent: the second one within 1.4 s. */
+const minFrequentCount = 1.5;
+const maxKeptCounts = 4_096;
+
+/** Creates the counts of a host that no statement has reached yet. */
+export function createFrequencies(): Frequencies {
+    const counts = new Map<string, { readonly count: number; readonly atMs: number }>();
+    return {
+        note(endpoint, organisation, nowMs) {
+            const key = `${endpoint} ${organisation}`;
+            const known = counts.get(key);
+            const decayed = known === undefined
+                ? 0
+                : known.count * Math.exp((known.atMs - nowMs) / frequencyWindowMs);
+            if (counts.size >= maxKeptCounts && known === undefined) {
+                counts.clear();
+            }
+            counts.set(key, { count: decayed + 1, atMs: nowMs });
+            return decayed + 1 >= minFrequentCount;
+        },
+    };
+}
--- a/src/proxy/endpointchoice.ts
+++ b/src/proxy/endpointchoice.ts
@@ -42,8 +42,6 @@
     /** True while an endpoint whose evacuation was taken back has had its share of the reads. */
     isRationed(listed: directory.Endpoint): boolean;
     isPrimary(endpoint: string): boolean;
-    /** True if some hosts hold the connections to the endpoint, and so probably an idle one for the organisation. */
-    hasHolders(endpoint: string): boolean;
 }
 
 /** What a read requires. */
@@ -108,7 +106,6 @@
         return {
             ...inputs,
             endpoint: listed.id,
-            hasIdleConnection: inputs.hasIdleConnection || options.hasHolders(listed.id),
             primary: options.isPrimary(listed.id),
             draining: listed.draining,
             load: inputs.load + options.otherHostsLoad(listed.id),
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -57,10 +57,8 @@
 export interface Relaying {
     /** A connection to the endpoint that another host holds; undefined if this host is to use one of its own. */
     connect(request: relays.Request): pools.PooledConnection | undefined;
-    /** True if this host may keep idle connections to the endpoint. */
-    keeps(endpoint: string): boolean;
-    /** True if some hosts hold the connections to the endpoint. */
-    hasHolders(endpoint: string): boolean;
+    /** Limits the time for which a connection of this host stays idle, where other hosts hold the connections. */
+    limit(endpoint: string, pooled: pools.PooledConnection): pools.PooledConnection;
 }
 
 /** What a statement requires of the endpoint that runs it. */
@@ -189,7 +187,6 @@
         view,
         findView: endpoint => views.get(endpoint),
         distanceTo: failureDomain => distanceTo(failureDomain),
-        hasHolders: endpoint => options.relaying?.hasHolders(endpoint) ?? false,
         isRationed: listed => eligibility.isRationed(listed),
         isPrimary: endpoint => leadership.find(name)?.primary === endpoint,
     });
--- a/src/proxy/holders.ts
+++ b/src/proxy/holders.ts
@@ -31,8 +31,6 @@
     decide(endpoint: string, organisation: string, requestHomes: homes.Homes): decisions.Decision | undefined;
     /** True if this host may keep idle connections to the endpoint. */
     keeps(endpoint: string): boolean;
-    /** True if some hosts hold the connections to the endpoint. */
-    hasHolders(endpoint: string): boolean;
     /** Replaces the guaranteed part of this host's share, where some hosts hold the connections. */
     adjust(endpoint: string, maxConnections: number, share: connectionShares.Share): connectionShares.Share;
 }
@@ -92,7 +90,6 @@
     }
 
     return {
-        hasHolders: endpoint => situationOf(endpoint) !== undefined,
         keeps(endpoint) {
             const situation = situationOf(endpoint);
             return situation === undefined || decider.holders(situation).includes(options.self().id);
--- a/src/proxy/relay.ts
+++ b/src/proxy/relay.ts
@@ -3,7 +3,7 @@
  * connection: what sets up a session stays here, and travels along with each statement.
  */
 import * as neverthrow from "neverthrow";
-import type * as decisions from "../core/connectionholders.js";
+import * as decisions from "../core/connectionholders.js";
 import type * as directories from "../core/directory.js";
 import * as failure from "../core/failure.js";
 import type * as connections from "../ports/connection.js";
@@ -31,6 +31,8 @@
     readonly metrics: RelayMetrics;
     readonly directory: Pick<directories.Directory, "find">;
     readonly health: peerHealth.PeerHealth;
+    /** Whether transactions are relayed; otherwise each opens a connection of its host. */
+    readonly transactions: boolean;
     holders(): holders.Holders;
     peers(): Pick<gossip.Peers, "all" | "call">;
     /** This host's own service, which serves when no holder does. */
@@ -42,7 +44,10 @@
     readonly endpoint: string;
     /** True if only the primary may run it. */
     readonly needsPrimary: boolean;
-    readonly context: Pick<statements.Context, "arrivedMs" | "deadlineMs" | "homes" | "organisation" | "route">;
+    readonly context: Pick<statements.Context, "deadlineMs" | "homes" | "organisation" | "route">;
+    readonly isTransaction: boolean;
+    /** This host's own connections to the endpoint. */
+    readonly pool: Pick<pools.Pool, "hasIdle" | "load"> | undefined;
     /** Time by which the statement should be answered. */
     readonly targetMs: number;
 }
@@ -76,6 +81,8 @@
 /** Time without use after which the lease of a transaction is renewed. */
 const renewAfterMs = 900;
 const upkeepTimeoutMs = 500;
+/** Statements at an endpoint up to which this host opens another connection of its own for frequent statements. */
+const maxOwnLoad = 2;
 
 const done: connections.Reply = {
     rows: [],
@@ -88,6 +95,7 @@
 export function createRelay(options: Options): Relay {
     const { clock, events, metrics, health } = options;
     const transactions = new Set<Remote>();
+    const frequencies = decisions.createFrequencies();
 
     /** Calls a method of a holder; an error says whether the holder may have received it. */
     async function call<Message, Answer>(
@@ -310,7 +318,15 @@
 
     return {
         connect(request) {
-            const { endpoint, context } = request;
+            const { endpoint, context, pool } = request;
+            const isFrequent = frequencies.note(endpoint, context.organisation, clock.now());
+            // A statement that would wait here for a connection is better off at the holder.
+            if (
+                pool?.hasIdle(context.organisation) === true || (request.isTransaction && !options.transactions)
+                || (isFrequent && (pool?.load() ?? 0) < maxOwnLoad)
+            ) {
+                return undefined;
+            }
             const decision = options.holders().decide(endpoint, context.organisation, context.homes);
             const born = options.directory.find(endpoint)?.born;
             return decision === undefined || born === undefined || decision.relayTo.length === 0
--- a/src/proxy/relayservice.ts
+++ b/src/proxy/relayservice.ts
@@ -20,8 +20,8 @@
     group(name: string): groups.Group;
     /** True once this host has begun to shut down. */
     isLeaving(): boolean;
-    /** True if this host may keep idle connections to the endpoint. */
-    keeps(endpoint: string): boolean;
+    /** Limits the time for which a connection of this host stays idle, where other hosts hold the connections. */
+    limit(endpoint: string, pooled: pools.PooledConnection): pools.PooledConnection;
     /** Detects a suspension or clock jump of this host; called before anything that relies on ages. */
     checkSuspension(): void;
     random(): number;
@@ -71,15 +71,6 @@
         return [outcome, clock.now() - startedMs, executionMs, handle];
     }
 
-    function giveBack({ endpoint, pooled }: Pick<Open, "endpoint" | "pooled">): void {
-        if (options.keeps(endpoint)) {
-            pooled.release();
-        }
-        else {
-            pooled.discard();
-        }
-    }
-
     function discard(handle: string): void {
         open.get(handle)?.pooled.discard();
         open.delete(handle);
@@ -173,7 +164,7 @@
             const isOverloaded = acquired?.error.code === failure.Code.overloaded;
             return finish(startedMs, ["declined", message, isOverloaded ? "overloaded" : "other"]);
         }
-        const pooled = acquired.value;
+        const pooled = options.limit(endpoint, acquired.value);
         const statement = prepare(id, command);
         const setUpMs = clock.now();
         if (!await statements.setUpConnection(pooled, { variables, deadlineMs }, statement, clock)) {
@@ -183,7 +174,7 @@
         }
         options.checkSuspension();
         if (needsPrimary && !group.isPrimary(endpoint)) {
-            giveBack({ endpoint, pooled });
+            pooled.release();
             return finish(startedMs, ["declined", "the endpoint can't be confirmed as primary", "other"]);
         }
         const endWork = group.beginWork(endpoint);
@@ -201,7 +192,7 @@
             pooled.discard();
         }
         else {
-            giveBack({ endpoint, pooled });
+            pooled.release();
         }
         return finish(startedMs, messages.encodeResult(result), executionMs);
     }
@@ -239,7 +230,7 @@
         }
         else if (result.value.state === "idle") {
             open.delete(handle);
-            giveBack(entry);
+            pooled.release();
         }
         return finish(startedMs, messages.encodeResult(result), executionMs);
     }
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -50,13 +50,16 @@
     mode: caller.Mode,
     placement: groups.Placement,
     context: statements.Context,
+    isTransaction = false,
 ): Promise<Result<pools.PooledConnection>> {
     const { relaying } = context.group;
     const relayed = relaying?.connect({
         endpoint: placement.endpoint,
         needsPrimary: mode === "write" || placement.minPosition === undefined,
         context,
+        isTransaction,
         targetMs: statements.targetMs(context),
+        pool: context.group.pool(placement.endpoint),
     });
     if (relayed !== undefined) {
         return neverthrow.ok(relayed);
@@ -78,8 +81,5 @@
         targetMs: statements.targetMs(context),
         priority: context.route.priority,
     });
-    // Where other hosts hold the connections, one that this host had to open takes the place of theirs.
-    return relaying?.keeps(placement.endpoint) === false
-        ? acquired.map(pooled => ({ ...pooled, release: () => pooled.discard() }))
-        : acquired;
+    return relaying === undefined ? acquired : acquired.map(pooled => relaying.limit(placement.endpoint, pooled));
 }
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -69,7 +69,9 @@
     connectionHolders: z.object({
         enabled: z.boolean().default(false),
         minHosts: z.number().int().min(2).default(17),
-    }).readonly().default({ enabled: false, minHosts: 17 }),
+        /** Whether transactions run there too, each statement of which then takes a hop; otherwise they open a connection. */
+        transactions: z.boolean().default(false),
+    }).readonly().default({ enabled: false, minHosts: 17, transactions: false }),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
--- a/src/proxy/transactions.ts
+++ b/src/proxy/transactions.ts
@@ -73,7 +73,7 @@
     ): Promise<Result<Transaction>> {
         const { group } = context;
         const { endpoint, minPosition, primary } = placement;
-        const acquired = await selection.acquireConnection(readOnly ? "read" : "write", placement, context);
+        const acquired = await selection.acquireConnection(readOnly ? "read" : "write", placement, context, true);
         if (acquired.isErr()) {
             return neverthrow.err(acquired.error);
         }
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -38,6 +38,12 @@
     readonly regions?: Readonly<Record<string, string>>;
     /** Bound of evacuations; the platform has none unless given. */
     readonly evacuateMs?: number;
+    /** Connections that hosts hold for each other; none unless given. */
+    readonly connectionHolders?: {
+        readonly enabled: boolean;
+        readonly minHosts: number;
+        readonly transactions: boolean;
+    };
 }
 
 /** A running world. */
@@ -210,6 +216,7 @@
             promotions: store.address,
             metricsPort: 0,
             graceMs: 1_500,
+            ...(options.connectionHolders === undefined ? {} : { connectionHolders: options.connectionHolders }),
             ...(options.evacuateMs === undefined ? {} : { evacuateMs: options.evacuateMs }),
             ...options.cold === undefined
                 ? {}
