Relay over the kept gRPC stream again, without a transport of its own

Cause: docs/design/protocol.md records MessagePack over gRPC between hosts. A transport beside it is a decision of its own and isn't part of holding connections.

--- a/src/adapters/callstream.ts
+++ b/src/adapters/callstream.ts
@@ -67,12 +67,6 @@
     readonly established: boolean;
 }
 
-/** What to do at the end of a call. */
-export interface Handlers {
-    reply(value: unknown, receivedBytes: number): void;
-    failed(cause: Break): void;
-}
-
 /** The calling side of a stream. */
 export interface CallStream {
     /** True until the stream breaks or is closed; no call may be made after that. */
@@ -81,18 +75,14 @@
     call(
         method: string,
         request: unknown,
-        handlers: Handlers,
-    ): {
-        readonly sentBytes: number;
-        /** Gives the call up; returns false if it was certainly not sent, and then it is not sent later. */
-        cancel(): boolean;
-    };
+        handlers: { reply(value: unknown, receivedBytes: number): void; failed(cause: Break): void },
+    ): { readonly sentBytes: number; cancel(): void };
     close(): void;
 }
 
 /** Creates the calling side of a stream that was just opened. */
 export function create(stream: grpc.ClientDuplexStream<Buffer, Buffer>, codec: Codec): CallStream {
-    const pending = new Map<number, Handlers>();
+    const pending = new Map<number, { reply(value: unknown, bytes: number): void; failed(cause: Break): void }>();
     let established = false;
     let open = true;
     let nextId = 0;
@@ -144,13 +134,7 @@
             const bytes = codec.encode([id, method, request]);
             pending.set(id, handlers);
             stream.write(bytes);
-            return {
-                sentBytes: bytes.length,
-                cancel() {
-                    pending.delete(id);
-                    return true;
-                },
-            };
+            return { sentBytes: bytes.length, cancel: () => void pending.delete(id) };
         },
         close() {
             fail(undefined, "the channel was closed");
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -5,12 +5,10 @@
 import * as grpc from "@grpc/grpc-js";
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
-import * as net from "node:net";
 import * as z from "zod";
 import * as failure from "../core/failure.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
-import * as callLinks from "./calllink.js";
 import * as callStreams from "./callstream.js";
 
 const packer = new msgpackr.Packr({ useRecords: true, encodeUndefinedAsNil: false });
@@ -125,38 +123,19 @@
     implementation[callStreams.methodName] = (stream: grpc.ServerDuplexStream<Buffer, Buffer>) =>
         callStreams.serve(stream, codec, run);
     server.addService(definition, implementation);
-    const injector = server.createConnectionInjector(grpc.ServerCredentials.createInsecure());
-    const sockets = new Set<net.Socket>();
-    const listener = net.createServer(socket => {
-        sockets.add(socket);
-        socket.on("close", () => sockets.delete(socket));
-        // gRPC installs a handler of its own, but the connection may break before its first byte.
-        socket.on("error", () => socket.destroy());
-        socket.once("readable", () => {
-            const bytes = socket.read() as Buffer | null;
-            if (bytes === null) {
-                socket.destroy();
-                return;
-            }
-            socket.unshift(bytes);
-            if (callLinks.isLink(bytes)) {
-                callLinks.serve(socket, codec, run);
+    const boundPort = await new Promise<number>((resolve, reject) => {
+        server.bindAsync(`${host}:${port}`, grpc.ServerCredentials.createInsecure(), (error, assignedPort) => {
+            if (error === null) {
+                resolve(assignedPort);
             }
             else {
-                injector.injectConnection(socket);
+                reject(error);
             }
         });
     });
-    await new Promise<void>((resolve, reject) => {
-        listener.once("error", reject);
-        listener.listen(port, host, resolve);
-    });
-    const bound = listener.address();
     return {
-        port: typeof bound === "object" && bound !== null ? bound.port : port,
+        port: boundPort,
         async close() {
-            listener.close();
-            sockets.forEach(socket => socket.destroy());
             server.forceShutdown();
         },
     };
@@ -189,7 +168,6 @@
             "grpc.enable_retries": 0,
         });
         let stream: callStreams.CallStream | undefined;
-        let link: callStreams.CallStream | undefined;
         /** False once the other process turned out to be of a version that doesn't serve the stream of calls. */
         let streamSupported = true;
         let closed = false;
@@ -206,13 +184,6 @@
             return stream;
         }
 
-        function openLink(): callStreams.CallStream {
-            if (link?.isOpen() !== true) {
-                link = callLinks.connect(address, codec);
-            }
-            return link;
-        }
-
         function callOnce<Request, Reply>(
             method: messages.Method<Request, Reply>,
             request: Request,
@@ -250,12 +221,11 @@
             return new Promise(resolve => {
                 const startedMs = performance.now();
                 const timer = setTimeout(() => {
-                    const error = call.cancel()
-                        ? { code: undefined, details: `no reply within ${Math.round(timeoutMs)} ms` }
-                        : { code: grpc.status.UNAVAILABLE, details: "No connection established in time" };
-                    resolve(neverthrow.err(toFailure(address, method.name, error)));
+                    call.cancel();
+                    const details = `no reply within ${Math.round(timeoutMs)} ms`;
+                    resolve(neverthrow.err(toFailure(address, method.name, { code: undefined, details })));
                 }, timeoutMs);
-                const call = (method.frequent === true ? openLink() : openStream()).call(method.name, request, {
+                const call = openStream().call(method.name, request, {
                     reply(value, receivedBytes) {
                         clearTimeout(timer);
                         meter(method.name, address, call.sentBytes, receivedBytes);
@@ -282,7 +252,7 @@
                     const cause = failure.create(failure.Code.peerUnreachable, address, message, reconnectMs);
                     return Promise.resolve(neverthrow.err(cause));
                 }
-                return method.frequent === true || (streamSupported && method.large !== true)
+                return streamSupported && method.large !== true
                     ? callOnStream(method, request, timeoutMs)
                     : callOnce(method, request, timeoutMs);
             },
@@ -290,7 +260,6 @@
                 closed = true;
                 channels.delete(address);
                 stream?.close();
-                link?.close();
                 client.close();
             },
         };
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -11,8 +11,6 @@
     readonly reply: z.ZodType<Reply>;
     /** True when requests or replies are large, so that other calls to the same process must not wait behind them. */
     readonly large?: boolean;
-    /** True when calls are frequent and short, and are to cost little. */
-    readonly frequent?: boolean;
 }
 
 function method<Request, Reply>(
--- a/src/proxy/relaymessages.ts
+++ b/src/proxy/relaymessages.ts
@@ -123,7 +123,7 @@
     name: string,
     request: z.ZodType<Request>,
     answer: z.ZodType<Answer>,
-): messages.Method<Request, Answer> => ({ name, request, reply: answer, frequent: true });
+): messages.Method<Request, Answer> => ({ name, request, reply: answer });
 
 /** RPC methods of the relay. */
 export const methods = {
