--- a/src/proxy/relay.test.ts
+++ b/src/proxy/relay.test.ts
@@ -137,6 +137,37 @@
         chai.expect(fleet.runs).to.deep.equal([]);
     });
 
+    it("are not run, and open no connection elsewhere, when the holder has none to spare in time", async () => {
+        const fleet = simulated.createFleet();
+        const holder = fleet.holderOf("cluj");
+        const service = fleet.sharings[holder]?.service as relayServices.RelayService;
+        const busy = Array.from(
+            { length: 60 },
+            (_, number) =>
+                service.run([
+                    simulated.endpoint,
+                    1,
+                    "cluj",
+                    [],
+                    `b${number}`,
+                    ["text", "READ b", null],
+                    false,
+                    400,
+                    1,
+                    1,
+                ]),
+        );
+        const context = fleet.context(fleet.originFor("cluj"));
+        const result = await simulated.settle(
+            fleet,
+            fleet.execute(fleet.originFor("cluj"), simulated.write("w"), { deadlineMs: context.arrivedMs + 80 }),
+        );
+        chai.expect(codeOf(result)).to.equal(failure.Code.endpointUnreachable);
+        chai.expect(new Set(fleet.dials)).to.deep.equal(new Set([holder]));
+        chai.expect(fleet.runs.some(run => run.command.includes("WRITE w"))).to.equal(false);
+        await simulated.settle(fleet, Promise.all(busy));
+    });
+
     it("fail without having run when the endpoint can't be reached, and only that counts as its failure", async () => {
         const fleet = simulated.createFleet();
         fleet.endpointIsDown = true;
