--- a/src/proxy/relay.ts
+++ b/src/proxy/relay.ts
@@ -74,10 +74,13 @@
     readonly template: string;
 }
 
-/** Time by which a holder's limit is shorter than this host's, so that its reply still arrives. */
-const replyMarginMs = 10;
+/**
+ * Time by which a holder's limit is shorter than this host's, beside the measured round trip. A reply that arrives too late
+ * leaves the outcome of a write unknown, even if the holder did not send it.
+ */
+const replyMarginMs = 40;
 /** Least time left with which a holder is asked. */
-const minLeftMs = 40;
+const minLeftMs = 100;
 /** Time without use after which the lease of a transaction is renewed. */
 const renewAfterMs = 900;
 const upkeepTimeoutMs = 500;
