--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -15,6 +15,7 @@
 import * as callerServices from "./callerservice.js";
 import * as clusterViews from "./clusterview.js";
 import * as coldGates from "./coldgate.js";
+import * as connectionSharing from "./connectionsharing.js";
 import * as coordinators from "./coordinator.js";
 import type * as evacuationViews from "./evacuations.js";
 import * as eventLogs from "./events.js";
@@ -28,6 +29,7 @@
 import * as metricsRegistry from "./metrics.js";
 import * as peerHandlers from "./peerhandlers.js";
 import * as gossip from "./peers.js";
+import * as peerServices from "./peerservice.js";
 import * as periodicTasks from "./periodictasks.js";
 import * as placeViews from "./places.js";
 import type * as platforms from "./platform.js";
@@ -38,20 +40,9 @@
 import * as restorers from "./restoration.js";
 import * as settingsFile from "./settings.js";
 import * as storeSyncs from "./storesync.js";
+import * as timings from "./timings.js";
 import * as transactions from "./transactions.js";
 
-/**
- * Age up to which a proof of the records is valid: three polls of the store, of which one may be lost. A replacement of
- * a primary waits at most this long for hosts that can't be reached.
- */
-const maxProofAgeMs = 1_500;
-/** Time that statements in flight at a primary being replaced get to finish; covers several statements. */
-const handoverGraceMs = 150;
-/** Time for which a missing endpoint is kept; after an outage, entries return within two seconds. */
-const missingGraceMs = 2_500;
-/** Gap between endpoint listings that counts as an outage: two listings lost. */
-const outageGapMs = 2_500;
-
 /** Assembles a host. Nothing runs until `start` is called. */
 export function createHost(environment: hosts.Environment): hosts.Host {
     const { settings, clock, log } = environment;
@@ -59,10 +50,9 @@
     const lifecycle = lifecycles.createLifecycle(log);
     let self = settingsFile.memberOf(settings, environment.incarnation);
     let callers: callerDrain.CallerListener | undefined;
-    let stopping = false;
+    let stoppingSinceMs: number | undefined;
     let refusesLogins = false;
     let stopTasks: (() => void) | undefined;
-    let peerServer: grpc.Server | undefined;
     const era = storeEras.createStoreEra({
         now: clock.now,
         onRestored(next, previous) {
@@ -84,9 +74,9 @@
     ).inSingletonScope();
     container.bind(id.network).toDynamicValue(() => grpc.createNetwork()).inSingletonScope();
     container.bind(id.leadership).toConstantValue(
-        leaderships.createLeadership({ maxProofAgeMs, graceMs: handoverGraceMs }),
+        leaderships.createLeadership({ maxProofAgeMs: timings.maxProofAgeMs, graceMs: timings.handoverGraceMs }),
     );
-    container.bind(id.directory).toConstantValue(directories.createDirectory({ missingGraceMs, outageGapMs }));
+    container.bind(id.directory).toConstantValue(directories.createDirectory(timings));
     container.bind(id.limiter).toConstantValue(
         limiters.createLimiter({
             tolerance: settingsFile.toleranceOf(settings),
@@ -167,7 +157,7 @@
             regionByFailureDomain: settings.failureDomains,
             clock,
             era,
-            handoverGraceMs,
+            handoverGraceMs: timings.handoverGraceMs,
             events: events(),
             leadership: leadership(),
             directory: directory(),
@@ -178,6 +168,7 @@
                 (await container.get<probers.Prober>(id.prober).statuses([endpoint])).get(endpoint.id),
             coldGate: coldGate(),
             metrics: metrics(),
+            sharing: sharing(),
             random: environment.random,
             self: () => self,
             peers,
@@ -197,6 +188,19 @@
             noClockJumpSince: sinceMs => clusterView().noClockJumpSince(sinceMs),
         })
     ).inSingletonScope();
+    container.bind(id.sharing).toDynamicValue(() =>
+        connectionSharing.createConnectionSharing({
+            ...common(),
+            ...settings.connectionHolders,
+            directory: directory(),
+            evacuations: evacuations(),
+            random: environment.random,
+            regionOf: domain => settings.failureDomains[domain],
+            self: () => self,
+            peers,
+            group: name => clusterView().group(name),
+        })
+    ).inSingletonScope();
     container.bind(id.failoverLock).toConstantValue(
         failoverLocks.createHeldLock({ clock, store: () => platform().store, storeSync: () => storeSync() }),
     );
@@ -214,7 +218,7 @@
             hostId: settings.id,
             promotions: platform().promotions,
             leadership: leadership(),
-            maxProofAgeMs,
+            maxProofAgeMs: timings.maxProofAgeMs,
             applyRecord: record => clusterView().applyRecord(record),
             applyAndFence: record => clusterView().applyAndFence(record),
         })
@@ -262,6 +266,7 @@
     const leadership = (): leaderships.Leadership => container.get(id.leadership);
     const directory = (): directories.Directory => container.get(id.directory);
     const coldGate = (): coldGates.ColdGate => container.get(id.coldGate);
+    const sharing = (): connectionSharing.ConnectionSharing => container.get(id.sharing);
     const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
@@ -291,6 +296,7 @@
         events: events(),
         clusterView: clusterView(),
         coldGate: coldGate(),
+        sharing: sharing(),
         storeSync: storeSync(),
         storeNews: reading().news,
         peers: peers(),
@@ -305,7 +311,7 @@
 
     const readinessState = readinessStates.createReadiness({
         events,
-        stopping: () => stopping,
+        stopping: () => stoppingSinceMs !== undefined,
         conditions: () => ({
             configuration: storeSync().policy().version > 0,
             endpoints: directory().all().length > 0,
@@ -322,20 +328,13 @@
         callers: () => callers,
     });
 
-    lifecycle.add({
-        name: "peers",
-        async start() {
-            const handlers = peerHandlers.createHandlers(components());
-            peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers);
-            peers().start();
-        },
-        async close() {
-            reading().news.close();
-            peers().close();
-            container.get<network.Network>(id.network).close();
-            await peerServer?.close();
-        },
-    });
+    lifecycle.add(peerServices.createPeerService({
+        settings,
+        handlers: () => peerHandlers.createHandlers(components()),
+        network: () => container.get<network.Network>(id.network),
+        peers,
+        news: () => reading().news,
+    }));
     lifecycle.add({
         name: "store",
         start: () => storeSync().start(),
@@ -353,6 +352,8 @@
         start() {
             stopTasks = periodicTasks.start({ ...components(), activity, readiness: readinessState });
         },
+        // Transactions of other hosts get the same part of the grace to end as those of callers.
+        drain: () => sharing().drain((stoppingSinceMs ?? clock.now()) + settings.graceMs / 2),
         close: () => stopTasks?.(),
     });
     lifecycle.add(callerServices.createCallerService({
@@ -363,7 +364,7 @@
         login: () => container.get<caller.Login>(id.login),
         ready: readinessState.ready,
         onDrain() {
-            stopping = true;
+            stoppingSinceMs = clock.now();
             self = { ...self, leaving: true };
             readinessState.report();
         },
--- a/src/proxy/endpoint.ts
+++ b/src/proxy/endpoint.ts
@@ -188,7 +188,8 @@
                 evidence.record(failed, clock.now());
             }
             if (executed) {
-                const observedMs = Math.max(0, clock.now() - requestedAtMs - options.roundTripMs);
+                const observedMs = reply.executionMs
+                    ?? Math.max(0, clock.now() - requestedAtMs - options.roundTripMs);
                 serviceMs += (observedMs - serviceMs) * serviceSmoothing;
                 endpointRoom.recordAnswer(observedMs, endpointView(Math.max(0, pool.load() - 1)));
             }
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -6,6 +6,7 @@
 import type * as caller from "../ports/caller.js";
 import type * as coldGates from "./coldgate.js";
 import type * as endpoints from "./endpoint.js";
+import type * as relays from "./relay.js";
 import type * as sessions from "./session.js";
 
 /** Values of the gauges about what this host has learnt from the store. */
@@ -43,7 +44,8 @@
 }
 
 /** Metrics of one host. */
-export interface Metrics extends sessions.RequestMetrics, coldGates.PermitMetrics, endpoints.AdmissionMetrics {
+export interface Metrics
+    extends sessions.RequestMetrics, coldGates.PermitMetrics, endpoints.AdmissionMetrics, relays.RelayMetrics {
     /** Counts a call to the platform. */
     countPlatformCall(kind: string, result: string): void;
     /** Counts that the store came back from an older copy. */
@@ -119,6 +121,12 @@
         labelNames: ["result"],
         registers,
     });
+    const relayed = new prometheus.Counter({
+        name: "hyssophatch_statements_relayed_total",
+        help: "Statements passed to a host that holds connections to the endpoint, by result.",
+        labelNames: ["result"],
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const spillover = gauge(
@@ -158,6 +166,7 @@
         inverted: () => inversions.inc(),
         abandoned: () => abandoned.inc(),
         permitAsked: result => permits.inc({ result }),
+        relayed: result => relayed.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
         countNews: result => news.inc({ result }),
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -45,11 +45,25 @@
     return failure.create(failure.Code.replicaBehind, group, message, statements.retryAfterMs);
 }
 
-/** Acquires a connection to the selected endpoint; waits for a free one if necessary. */
+/** Acquires a connection to the selected endpoint, of this host or another; waits for a free one if necessary. */
 export async function acquireConnection(
+    mode: caller.Mode,
     placement: groups.Placement,
     context: statements.Context,
+    isTransaction = false,
 ): Promise<Result<pools.PooledConnection>> {
+    const { relaying } = context.group;
+    const relayed = relaying?.connect({
+        endpoint: placement.endpoint,
+        needsPrimary: mode === "write" || placement.minPosition === undefined,
+        context,
+        isTransaction,
+        targetMs: statements.targetMs(context),
+        pool: context.group.pool(placement.endpoint),
+    });
+    if (relayed !== undefined) {
+        return neverthrow.ok(relayed);
+    }
     const pool = context.group.pool(placement.endpoint);
     if (pool === undefined) {
         const message = `Endpoint ${placement.endpoint} is no longer listed, or its failure domain is evacuated.`;
@@ -60,7 +74,7 @@
     const { organisation, variables } = context;
     // Without enough time left for the statement, a connection would only lead to a time-out during execution.
     const deadlineMs = context.deadlineMs - context.group.minStatementMs(placement.endpoint);
-    return pool.acquire({
+    const acquired = await pool.acquire({
         organisation,
         variables,
         deadlineMs,
@@ -68,4 +82,5 @@
         priority: context.route.priority,
         isAbandoned: context.isAbandoned,
     });
+    return relaying === undefined ? acquired : acquired.map(pooled => relaying.limit(placement.endpoint, pooled));
 }
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -66,6 +66,16 @@
      * milliseconds; absent on a platform without evacuations.
      */
     evacuateMs: z.number().min(0).optional(),
+    /**
+     * Whether and from how many hosts on some of them hold the connections for all, where there are fewer connections than
+     * one an organisation and host.
+     */
+    connectionHolders: z.object({
+        enabled: z.boolean().default(false),
+        minHosts: z.number().int().min(2).default(17),
+        /** Whether transactions run there too, each statement of which then takes a hop; otherwise they open a connection. */
+        transactions: z.boolean().default(false),
+    }).readonly().default({ enabled: false, minHosts: 17, transactions: false }),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
