Measure what a host's processor time is used for

Cause: a sampling profiler inside the users' bench sees the bench's clock, so nobody knew what the hosts' time goes into. Ruled out: async_hooks (before and after each continuation of a promise, dearer than what is measured); measuring only the synchronous part of an entry point, which misses what follows an await. Change: core/processortime charges the time from each entry into an activity to the next entry or the end of the event loop's turn; proxy/processormeter enters at the ports (calls between hosts by method, store, endpoints' statuses, timers, statements, connections). `measureProcessor`, off by default; off, the ports are not wrapped. Metric hyssophatch_processor_seconds_total{activity}, event processorMeasured each 5 s, `ACTIVITIES=1 npm run bench -- hosts`.

--- a/bench/hosts.ts
+++ b/bench/hosts.ts
@@ -1,7 +1,7 @@
 /**
  * Processor time of hosts by their age and by the size of the fleet, without statements: one process a host, over the
  * stand-ins of a platform whose database groups have terms. `HOSTS=8,24 PROFILE=1 npm run bench -- hosts` sets the sizes,
- * and writes a processor profile of one host of each size.
+ * and writes a processor profile of one host of each size; `ACTIVITIES=1` adds the mean by activity, whose measuring costs a little.
  */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
@@ -60,6 +60,7 @@
         store,
         promotions: store,
         graceMs: 1_500,
+        measureProcessor: process.env["ACTIVITIES"] === "1",
     };
 }
 
@@ -104,6 +105,20 @@
     store.put(`servers/${member.id}`, JSON.stringify(entry));
 }
 
+/** Milliseconds of processor time by activity, added up over the hosts; empty unless they measure it. */
+async function activities(hostCount: number): Promise<ReadonlyMap<string, number>> {
+    const total = new Map<string, number>();
+    const numbers = process.env["ACTIVITIES"] === "1" ? Array.from({ length: hostCount }, (_, number) => number) : [];
+    for (const number of numbers) {
+        const response = await fetch(`http://127.0.0.1:${firstPort + number * portsPerHost + 3}/metrics`);
+        for (const match of (await response.text()).matchAll(/processor_seconds_total\{activity="(\w+)"\} (\S+)/g)) {
+            const [, name = "", seconds = ""] = match;
+            total.set(name, (total.get(name) ?? 0) + Number(seconds) * 1_000);
+        }
+    }
+    return total;
+}
+
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 async function measure(hostCount: number, directory: string, profile: boolean): Promise<readonly reports.Row[]> {
@@ -128,6 +143,7 @@
     let previousMs = 0;
     let previous = processes.map(() => 0);
     let previousCalls = 0;
+    let previousActivities: ReadonlyMap<string, number> = new Map();
     for (const age of ages) {
         await pause(age.untilMs - (performance.now() - startMs));
         const now = processes.map(entry => processorMs(entry.pid));
@@ -135,13 +151,21 @@
         const seconds = (age.untilMs - previousMs) / 1_000;
         const calls = [...store.calls.values()].reduce((sum, count) => sum + count, 0);
         const perSecond = age.name === "start" ? 1 : seconds;
+        const byActivity = await activities(hostCount);
+        const round = (ms: number): number => Math.round(ms / perSecond * 100) / 100;
         rows.push({
             hosts: hostCount,
             age: age.name,
             medianMs: Math.round((used[Math.floor(used.length / 2)] ?? 0) / perSecond * 10) / 10,
             mostMs: Math.round((used[used.length - 1] ?? 0) / perSecond * 10) / 10,
             storeCallsPerHostSecond: Math.round((calls - previousCalls) / seconds / hostCount * 100) / 100,
+            ...Object.fromEntries(
+                [...byActivity].map((
+                    [name, ms],
+                ) => [name, round((ms - (previousActivities.get(name) ?? 0)) / hostCount)]),
+            ),
         });
+        previousActivities = byActivity;
         previousMs = age.untilMs;
         previous = now;
         previousCalls = calls;
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -89,7 +89,7 @@
     container.bind(id.platform).toDynamicValue(() =>
         environment.platform((kind, result) => metrics().countPlatformCall(kind, result), era)
     ).inSingletonScope();
-    container.bind(id.network).toDynamicValue(() => grpc.createNetwork()).inSingletonScope();
+    container.bind(id.network).toDynamicValue(() => environment.meter.network(grpc.createNetwork())).inSingletonScope();
     container.bind(id.leadership).toConstantValue(
         leaderships.createLeadership({ maxProofAgeMs, graceMs: handoverGraceMs }),
     );
@@ -108,7 +108,7 @@
             clock,
             events: events(),
             random: environment.random,
-            localDigest: () => clusterView().localDigest(),
+            localDigest: environment.meter.measured("exchange", () => clusterView().localDigest()),
             isUrgent: () => clusterView().lacksProof(),
             onDigest: (digest, sentMs) => clusterView().mergeDigest(digest, sentMs),
         })
@@ -291,6 +291,7 @@
 
     const components = () => ({
         clock,
+        meter: environment.meter,
         era,
         events: events(),
         clusterView: clusterView(),
@@ -320,7 +321,7 @@
     lifecycle.add({
         name: "peers",
         async start() {
-            const handlers = peerHandlers.createHandlers(components());
+            const handlers = environment.meter.handlers(peerHandlers.createHandlers(components()));
             peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers);
             peers().start();
         },
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -68,6 +68,7 @@
     statementRetried: { ...problem, message: "Statement retried." },
     statementServed: { ...served, message: "Statement served." },
     measured: { ...stateChange, message: "Activity of this host since the previous report." },
+    processorMeasured: { ...stateChange, message: "Processor time by activity since the previous report." },
     transactionLost: { ...problem, message: "Transaction rolled back." },
 } as const satisfies Readonly<Record<string, Definition>>;
 
--- a/src/proxy/gauges.ts
+++ b/src/proxy/gauges.ts
@@ -7,6 +7,7 @@
 import type * as failoverLocks from "./failoverlock.js";
 import type * as groups from "./group.js";
 import type * as metrics from "./metrics.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
 
@@ -20,6 +21,7 @@
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly failoverLock: failoverLocks.HeldLock;
     readonly evacuations: evacuations.Evacuations;
+    readonly meter: processorMeters.Meter;
     /** Open connections of callers. */
     readonly callers: number;
 }
@@ -41,6 +43,7 @@
         proofAgeMs: leadership.proofAgeMs(clock.now()),
         holdsFailoverLock: sources.failoverLock.fencingToken() !== undefined,
         evacuatedFailureDomains: sources.evacuations.evacuated(),
+        processorMs: sources.meter.usedMs() ?? {},
         ...sources.storeNews.gauges(),
     };
 }
--- a/src/proxy/host.ts
+++ b/src/proxy/host.ts
@@ -3,6 +3,7 @@
 import type * as store from "../ports/store.js";
 import type * as eventLogs from "./events.js";
 import type * as platforms from "./platform.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as settingsFile from "./settings.js";
 
 /** What the host needs from its process. */
@@ -13,6 +14,8 @@
     /** Creates the platform, which reports the result of every call to `count`, and the era of the store to `era`. */
     platform(count: (kind: string, result: string) => void, era: store.Era): platforms.Platform;
     random(): number;
+    /** Measures what the processor time is used for; the other fields are measured already. */
+    readonly meter: processorMeters.Meter;
     /** Identifies this process; a restarted host has another value. */
     readonly incarnation: string;
 }
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -3,9 +3,11 @@
 import { setTimeout as delay } from "node:timers/promises";
 import * as output from "../adapters/output.js";
 import * as failure from "../core/failure.js";
+import * as processorTimes from "../core/processortime.js";
 import * as platform from "../platform/index.js";
 import type * as runtime from "../ports/runtime.js";
 import * as assembly from "./assembly.js";
+import * as processorMeters from "./processormeter.js";
 import * as settingsFile from "./settings.js";
 
 /** Time limit for writing out the last log lines on shutdown. */
@@ -29,6 +31,17 @@
     };
 }
 
+function createMeter(): processorMeters.Meter {
+    const microsecondsPerMillisecond = 1_000;
+    return processorMeters.create(processorTimes.create({
+        usedMs() {
+            const { user, system } = process.cpuUsage();
+            return (user + system) / microsecondsPerMillisecond;
+        },
+        atEndOfTurn: action => void setImmediate(action),
+    }));
+}
+
 async function run(): Promise<void> {
     const file = process.argv[2] ?? platform.settingsPath(process.env);
     const settings = settingsFile.load(file);
@@ -39,12 +52,14 @@
     }
     const writer = output.createWriter();
     const log = output.createLog(settings.value.id, settings.value.logLevel, writer);
+    const meter = settings.value.measureProcessor ? createMeter() : processorMeters.none;
     const host = assembly.createHost({
         settings: settings.value,
-        clock: createClock(),
+        clock: meter.clock(createClock()),
         log,
-        platform: (count, era) => platform.create(settings.value, log, count, era),
+        platform: (count, era) => meter.platform(platform.create(settings.value, log, count, era)),
         random: Math.random,
+        meter,
         incarnation: `${process.pid}-${process.hrtime.bigint()}`,
     });
     const shutDown = (): void => {
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -32,6 +32,8 @@
     readonly proofAgeMs: number;
     readonly holdsFailoverLock: boolean;
     readonly evacuatedFailureDomains: readonly string[];
+    /** Processor time by activity, in milliseconds; empty unless it is measured. */
+    readonly processorMs: Readonly<Record<string, number>>;
 }
 
 /** Metrics of one host. */
@@ -101,6 +103,12 @@
         labelNames: ["result"],
         registers,
     });
+    const processor = new prometheus.Counter({
+        name: "hyssophatch_processor_seconds_total",
+        help: "Processor time by what it was used for, if that is measured.",
+        labelNames: ["activity"],
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const spillover = gauge(
@@ -156,6 +164,8 @@
             listingAge.set(seconds(gauges.listingAgeMs));
             evacuated.reset();
             gauges.evacuatedFailureDomains.forEach(domain => evacuated.set({ failure_domain: domain }, 1));
+            processor.reset();
+            Object.entries(gauges.processorMs).forEach(([activity, ms]) => processor.inc({ activity }, seconds(ms)));
             failoverLock.set(gauges.holdsFailoverLock ? 1 : 0);
             return registry.metrics();
         },
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -6,6 +6,7 @@
 import type * as evacuations from "./evacuations.js";
 import type * as eventLogs from "./events.js";
 import type * as gossip from "./peers.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as readinessStates from "./readinessstate.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
@@ -18,6 +19,7 @@
     readonly clusterView: clusterViews.ClusterView;
     readonly evacuations: evacuations.Evacuations;
     readonly limiter: limiters.Limiter;
+    readonly meter: processorMeters.Meter;
     readonly peers: gossip.Peers;
     readonly readiness: readinessStates.Readiness;
     readonly storeNews: storeNewsExchange.StoreNews;
@@ -35,6 +37,20 @@
 export function start(components: Components): () => void {
     const { clock, clusterView, peers, limiter, events } = components;
     const startMs = clock.now();
+    let reportedMs: Readonly<Record<string, number>> = {};
+
+    function reportProcessorTime(): void {
+        const usedMs = components.meter.usedMs();
+        if (usedMs !== undefined) {
+            const previousMs = reportedMs;
+            reportedMs = usedMs;
+            const sinceMs = Object.entries(usedMs).map(([name, ms]) =>
+                [name, Math.round((ms - (previousMs[name] ?? 0)) * 10) / 10] as const
+            );
+            events.emit("processorMeasured", { usedMs: Object.fromEntries(sinceMs) });
+        }
+    }
+
     const stops = [
         clock.every(checkIntervalMs, () => {
             clusterView.checkSuspension();
@@ -43,6 +59,9 @@
             components.storeNews.check();
             components.evacuations.check();
             components.readiness.report();
+            if (components.readiness.ready()) {
+                components.meter.endStart();
+            }
         }),
         clock.every(usageReportIntervalMs, () => {
             if (peers.all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
@@ -56,6 +75,7 @@
             if (report !== undefined) {
                 events.emit("measured", { ...report });
             }
+            reportProcessorTime();
         }),
     ];
     return () => stops.forEach(stop => stop());
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -62,6 +62,8 @@
      * milliseconds; absent on a platform without evacuations.
      */
     evacuateMs: z.number().min(0).optional(),
+    /** Whether the host measures what its processor time is used for, in the metrics and each 5 s in the log. */
+    measureProcessor: z.boolean().default(false),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -8,6 +8,7 @@
 import type * as runtime from "../../src/ports/runtime.js";
 import * as assembly from "../../src/proxy/assembly.js";
 import type * as proxyHosts from "../../src/proxy/host.js";
+import * as processorMeters from "../../src/proxy/processormeter.js";
 import * as registry from "../../src/proxy/registry.js";
 import * as settingsFile from "../../src/proxy/settings.js";
 import * as endpoints from "./endpoint.js";
@@ -223,6 +224,7 @@
             log,
             platform: (count, era) => platform.create(settings, log, count, era),
             random: Math.random,
+            meter: processorMeters.none,
             incarnation: `${number}-${performance.now()}`,
         });
     }
