Carry calls between hosts on plain connections, and gRPC only where it is needed

Cause: without statements a host of 24 spends its time on messages: gRPC's layers and HTTP/2 belong to the 18.9 ms a second of no activity and to part of the 11.0 ms of exchanges; opening an HTTP/2 session to and from each host of a cell is part of a start. Ruled out: fewer exchanges (proofs, samples and limits rest on their rate); larger cells (measured before). Change: adapters/framedsocket: messages with a length before them on a TCP connection to the same port. The first bytes of a connection tell the server which of the two it is. A process of a version that speaks only gRPC is recognised by its first bytes, and is called over the gRPC stream as before; large messages still go by gRPC, whose client is created when it is first needed. Messages are unchanged. The bench of hosts shows their error output.

--- a/bench/hosts.ts
+++ b/bench/hosts.ts
@@ -136,7 +136,9 @@
         const file = path.join(directory, `host-${number}.json`);
         fs.writeFileSync(file, JSON.stringify(settings(number, store.address)));
         const flags = profile && number === hostCount - 1 ? ["--cpu-prof", `--cpu-prof-dir=${directory}`] : [];
-        const child = childProcess.spawn(process.execPath, [...flags, program, file], { stdio: "ignore" });
+        const child = childProcess.spawn(process.execPath, [...flags, program, file], {
+            stdio: ["ignore", "ignore", "inherit"],
+        });
         return { pid: child.pid ?? 0, child };
     });
     const rows: reports.Row[] = [];
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -1,15 +1,18 @@
 /**
  * gRPC channels and servers. Messages are encoded as MessagePack, and both ends validate what they receive. Calls share
- * one stream a channel, except those with large messages, which would hold up the others.
+ * one stream a channel, except those with large messages, which would hold up the others. The stream is a plain connection to
+ * the same port, or a gRPC stream if the other process is of a version that accepts only gRPC.
  */
 import * as grpc from "@grpc/grpc-js";
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
+import * as net from "node:net";
 import * as z from "zod";
 import * as failure from "../core/failure.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import * as callStreams from "./callstream.js";
+import * as framedSockets from "./framedsocket.js";
 
 const packer = new msgpackr.Packr({ useRecords: true, encodeUndefinedAsNil: false });
 const maxMessageBytes = 32 * 1024 * 1024;
@@ -123,20 +126,41 @@
     implementation[callStreams.methodName] = (stream: grpc.ServerDuplexStream<Buffer, Buffer>) =>
         callStreams.serve(stream, codec, run);
     server.addService(definition, implementation);
-    const boundPort = await new Promise<number>((resolve, reject) => {
-        server.bindAsync(`${host}:${port}`, grpc.ServerCredentials.createInsecure(), (error, assignedPort) => {
-            if (error === null) {
-                resolve(assignedPort);
+    const injector = server.createConnectionInjector(grpc.ServerCredentials.createInsecure());
+    const sockets = new Set<net.Socket>();
+    const listener = net.createServer(socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+        const failBeforeData = (): void => void socket.destroy();
+        socket.on("error", failBeforeData);
+        // The first bytes tell which of the two it is, and are put back for whoever reads on.
+        socket.once("readable", () => {
+            const first = socket.read() as Buffer | null;
+            if (first === null) {
+                socket.destroy();
+                return;
+            }
+            socket.unshift(first);
+            socket.off("error", failBeforeData);
+            if (framedSockets.isPreamble(first)) {
+                callStreams.serve(framedSockets.accept(socket, maxMessageBytes), codec, run);
             }
             else {
-                reject(error);
+                injector.injectConnection(socket);
             }
         });
     });
+    await new Promise<void>((resolve, reject) => {
+        listener.once("error", reject);
+        listener.listen(port, host, resolve);
+    });
+    const bound = listener.address();
     return {
-        port: boundPort,
+        port: typeof bound === "object" && bound !== null ? bound.port : port,
         async close() {
+            listener.close();
             server.forceShutdown();
+            sockets.forEach(socket => socket.destroy());
         },
     };
 }
@@ -161,24 +185,28 @@
     const channels = new Map<string, network.Channel>();
 
     function createChannel(address: string): network.Channel {
-        const client = new grpc.Client(address, grpc.credentials.createInsecure(), {
-            "grpc.max_receive_message_length": maxMessageBytes,
-            "grpc.initial_reconnect_backoff_ms": reconnectMs,
-            "grpc.max_reconnect_backoff_ms": maxReconnectMs,
-            "grpc.enable_retries": 0,
-        });
+        let grpcClient: grpc.Client | undefined;
         let stream: callStreams.CallStream | undefined;
-        /** False once the other process turned out to be of a version that doesn't serve the stream of calls. */
-        let streamSupported = true;
+        /** How calls are sent: the next way once the other process turned out to be of a version that doesn't serve this one. */
+        let way: "plain" | "stream" | "single" = "plain";
         let closed = false;
 
+        /** The gRPC client, created when the first call needs it. */
+        function client(): grpc.Client {
+            grpcClient ??= new grpc.Client(address, grpc.credentials.createInsecure(), {
+                "grpc.max_receive_message_length": maxMessageBytes,
+                "grpc.initial_reconnect_backoff_ms": reconnectMs,
+                "grpc.max_reconnect_backoff_ms": maxReconnectMs,
+                "grpc.enable_retries": 0,
+            });
+            return grpcClient;
+        }
+
         function openStream(): callStreams.CallStream {
             if (stream?.isOpen() !== true) {
-                const opened = client.makeBidiStreamRequest(
-                    methodPath(callStreams.methodName),
-                    identity,
-                    identity,
-                );
+                const opened = way === "plain"
+                    ? framedSockets.open(address, maxMessageBytes)
+                    : client().makeBidiStreamRequest(methodPath(callStreams.methodName), identity, identity);
                 stream = callStreams.create(opened, codec);
             }
             return stream;
@@ -193,7 +221,7 @@
             return new Promise(resolve => {
                 // gRPC deadlines are wall-clock times, and the wall clock may jump.
                 const timer = setTimeout(() => call.cancel(), timeoutMs);
-                const call = client.makeUnaryRequest(
+                const call = client().makeUnaryRequest(
                     methodPath(method.name),
                     identity,
                     identity,
@@ -220,6 +248,7 @@
         ): network.Outcome<Reply> {
             return new Promise(resolve => {
                 const startedMs = performance.now();
+                const usedWay = way;
                 const timer = setTimeout(() => {
                     call.cancel();
                     const details = `no reply within ${Math.round(timeoutMs)} ms`;
@@ -234,8 +263,8 @@
                     failed(cause) {
                         clearTimeout(timer);
                         if (cause.code === grpc.status.UNIMPLEMENTED && !cause.established && !closed) {
-                            streamSupported = false;
-                            resolve(callOnce(method, request, timeoutMs - (performance.now() - startedMs)));
+                            way = usedWay === "plain" && way !== "single" ? "stream" : "single";
+                            resolve(send(method, request, timeoutMs - (performance.now() - startedMs)));
                             return;
                         }
                         const error = cause.established ? { ...cause, code: undefined } : cause;
@@ -245,6 +274,16 @@
             });
         }
 
+        function send<Request, Reply>(
+            method: messages.Method<Request, Reply>,
+            request: Request,
+            timeoutMs: number,
+        ): network.Outcome<Reply> {
+            return way === "single" || method.large === true
+                ? callOnce(method, request, timeoutMs)
+                : callOnStream(method, request, timeoutMs);
+        }
+
         return {
             call(method, request, timeoutMs) {
                 if (closed) {
@@ -252,15 +291,13 @@
                     const cause = failure.create(failure.Code.peerUnreachable, address, message, reconnectMs);
                     return Promise.resolve(neverthrow.err(cause));
                 }
-                return streamSupported && method.large !== true
-                    ? callOnStream(method, request, timeoutMs)
-                    : callOnce(method, request, timeoutMs);
+                return send(method, request, timeoutMs);
             },
             close() {
                 closed = true;
                 channels.delete(address);
                 stream?.close();
-                client.close();
+                grpcClient?.close();
             },
         };
     }
