Look up the hosts of the own cell when the membership changes

Cause: each question about an endpoint, and each judgement of the proof, collected the hosts of the cell and the other cells anew. Ruled out: sums by endpoint kept with each digest (they age). Change: both lists are kept until the membership changes; a host without outcomes of an endpoint isn't judged for silence.

--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -177,6 +177,56 @@
     });
 });
 
+describe("the cost of a fleet's size", () => {
+    it("looks hosts up when the membership changes, not at each question about an endpoint", () => {
+        let lookups = 0;
+        class CountedPeers extends Map<string, fleets.PeerState> {
+            override get(id: string): fleets.PeerState | undefined {
+                lookups += 1;
+                return super.get(id);
+            }
+        }
+        const peers = new CountedPeers();
+        const member = (number: number): messages.Member => ({
+            id: `host-${number}`,
+            address: `10.0.0.${number}:1`,
+            failureDomain: `domain-${number % 6}`,
+            incarnation: "a",
+            leaving: false,
+            capacity: 1,
+        });
+        for (let number = 1; number < 70; number += 1) {
+            peers.set(member(number).id, {
+                member: member(number),
+                digest: undefined,
+                lastHeardMs: 0,
+                lastPolledMs: 0,
+                lastRefusedMs: -Infinity,
+                lastFailedMs: -Infinity,
+                registered: true,
+                lastMentionedMs: 0,
+                lastVouchedMs: -Infinity,
+                unreachable: false,
+                channel: undefined,
+                header: undefined,
+                acknowledgedHeader: undefined,
+            });
+        }
+        const clock = { now: () => 0 } as unknown as runtime.HostClock;
+        const fleet = fleets.createFleet({ self: member(0), clock, peers, baselineId: 1 });
+        for (let question = 0; question < 100; question += 1) {
+            fleet.endpointUsage(`endpoint-${question}`);
+            fleet.endpointOutcomes(`endpoint-${question}`);
+            fleet.viewAgeMs();
+            fleet.peerProofs();
+        }
+        chai.expect(lookups).to.be.at.most(cellAssignment.maxHostsOfSingleCell);
+        peers.delete("host-6");
+        fleet.membershipChanged();
+        chai.expect(fleet.gossipTargets().map(peer => peer.member.id)).to.not.include("host-6");
+    });
+});
+
 describe("gossip between cells", function() {
     this.timeout(120_000);
 
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -136,6 +136,8 @@
     const cellNames: cellAssignment.CellNames = new Map();
     let hostsByCell: cellAssignment.HostsByCell | undefined;
     let cellByHost: ReadonlyMap<string, string> | undefined;
+    let knownCellPeers: readonly PeerState[] | undefined;
+    let knownOtherCells: readonly (readonly [string, readonly string[]])[] | undefined;
 
     /** All known hosts by cell, this one included. */
     function assignCells(): cellAssignment.HostsByCell {
@@ -152,12 +154,14 @@
     /** The other cells, each with the ids of its hosts. */
     function otherCells(): readonly (readonly [string, readonly string[]])[] {
         const ownCell = cellOf(self.id);
-        return [...assignCells()].filter(([name]) => name !== ownCell);
+        knownOtherCells ??= [...assignCells()].filter(([name]) => name !== ownCell);
+        return knownOtherCells;
     }
 
     /** The other hosts of this host's cell. */
     function cellPeers(): readonly PeerState[] {
-        return (assignCells().get(cellOf(self.id)) ?? []).flatMap(id => peers.get(id) ?? []);
+        knownCellPeers ??= (assignCells().get(cellOf(self.id)) ?? []).flatMap(id => peers.get(id) ?? []);
+        return knownCellPeers;
     }
 
     /**
@@ -263,6 +267,8 @@
         membershipChanged() {
             hostsByCell = undefined;
             cellByHost = undefined;
+            knownCellPeers = undefined;
+            knownOtherCells = undefined;
         },
         cellOf,
         evictDeparted() {
@@ -335,9 +341,9 @@
             }, remote.endpointUsage(endpoint, clock.now()));
         },
         endpointOutcomes: endpoint =>
-            cellPeers().filter(peer => !isSuspected(peer)).reduce<evidence.Outcomes>((sum, peer) => {
+            cellPeers().reduce<evidence.Outcomes>((sum, peer) => {
                 const outcomes = peer.digest?.endpointOutcomes[endpoint];
-                return outcomes === undefined
+                return outcomes === undefined || isSuspected(peer)
                     ? sum
                     : evidence.add(sum, evidence.aged(outcomes, clock.now() - peer.lastHeardMs));
             }, remote.endpointOutcomes(endpoint, clock.now())),
