--- a/src/adapters/callstream.ts
+++ b/src/adapters/callstream.ts
@@ -1,7 +1,8 @@
 /**
- * Calls of many methods over one stream that is kept open between two processes: a plain connection, or a gRPC stream to a
- * process that knows no other. A gRPC call of its own costs several times as much processor time as a message on a stream.
+ * Calls of many methods over one gRPC stream that is kept open between two processes. A call of its own costs a gRPC
+ * client and server several times as much processor time as a message on an open stream.
  */
+import type * as grpc from "@grpc/grpc-js";
 import * as z from "zod";
 
 /** A message on the stream: a call's number with its method and request, or with the reply. */
@@ -14,26 +15,6 @@
     decode(bytes: Buffer): unknown;
 }
 
-/** The accepting side of a stream of messages. */
-export interface ServerStream {
-    readonly destroyed: boolean;
-    readonly writable: boolean;
-    on(event: "data", listener: (bytes: Buffer) => void): unknown;
-    on(event: "end" | "error", listener: () => void): unknown;
-    emit(event: "error", error: Error): unknown;
-    write(bytes: Buffer): unknown;
-    end(): unknown;
-}
-
-/** The opening side of a stream of messages. `metadata` tells that the other process has accepted the stream. */
-export interface ClientStream {
-    on(event: "data", listener: (bytes: Buffer) => void): unknown;
-    on(event: "metadata" | "end", listener: () => void): unknown;
-    on(event: "error", listener: (error: { readonly code?: number; readonly details: string }) => void): unknown;
-    write(bytes: Buffer): unknown;
-    cancel(): void;
-}
-
 /** gRPC status of a request that makes no sense. */
 const invalidArgument = 3;
 
@@ -42,7 +23,7 @@
 
 /** Serves the calls that arrive on a stream. `run` never rejects. */
 export function serve(
-    stream: ServerStream,
+    stream: grpc.ServerDuplexStream<Buffer, Buffer>,
     codec: Codec,
     run: (method: string, request: unknown) => Promise<unknown>,
 ): void {
@@ -100,7 +81,7 @@
 }
 
 /** Creates the calling side of a stream that was just opened. */
-export function create(stream: ClientStream, codec: Codec): CallStream {
+export function create(stream: grpc.ClientDuplexStream<Buffer, Buffer>, codec: Codec): CallStream {
     const pending = new Map<number, { reply(value: unknown, bytes: number): void; failed(cause: Break): void }>();
     let established = false;
     let open = true;
@@ -142,7 +123,7 @@
         pending.delete(id);
         call?.reply(value, bytes.length);
     });
-    stream.on("error", error => fail(error.code, error.details));
+    stream.on("error", (error: grpc.ServiceError) => fail(error.code, error.details));
     stream.on("end", () => fail(undefined, "the stream ended"));
 
     return {
--- a/src/adapters/grpc.ts
+++ b/src/adapters/grpc.ts
@@ -1,18 +1,15 @@
 /**
  * gRPC channels and servers. Messages are encoded as MessagePack, and both ends validate what they receive. Calls share
- * one stream a channel, except those with large messages, which would hold up the others. The stream is a plain connection to
- * the same port, or a gRPC stream if the other process is of a version that accepts only gRPC.
+ * one stream a channel, except those with large messages, which would hold up the others.
  */
 import * as grpc from "@grpc/grpc-js";
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
-import * as net from "node:net";
 import * as z from "zod";
 import * as failure from "../core/failure.js";
 import type * as messages from "../ports/messages.js";
 import type * as network from "../ports/network.js";
 import * as callStreams from "./callstream.js";
-import * as framedSockets from "./framedsocket.js";
 
 const packer = new msgpackr.Packr({ useRecords: true, encodeUndefinedAsNil: false });
 const maxMessageBytes = 32 * 1024 * 1024;
@@ -126,41 +123,20 @@
     implementation[callStreams.methodName] = (stream: grpc.ServerDuplexStream<Buffer, Buffer>) =>
         callStreams.serve(stream, codec, run);
     server.addService(definition, implementation);
-    const injector = server.createConnectionInjector(grpc.ServerCredentials.createInsecure());
-    const sockets = new Set<net.Socket>();
-    const listener = net.createServer(socket => {
-        sockets.add(socket);
-        socket.on("close", () => sockets.delete(socket));
-        const failBeforeData = (): void => void socket.destroy();
-        socket.on("error", failBeforeData);
-        // The first bytes tell which of the two it is, and are put back for whoever reads on.
-        socket.once("readable", () => {
-            const first = socket.read() as Buffer | null;
-            if (first === null) {
-                socket.destroy();
-                return;
-            }
-            socket.unshift(first);
-            socket.off("error", failBeforeData);
-            if (framedSockets.isPreamble(first)) {
-                callStreams.serve(framedSockets.accept(socket, maxMessageBytes), codec, run);
+    const boundPort = await new Promise<number>((resolve, reject) => {
+        server.bindAsync(`${host}:${port}`, grpc.ServerCredentials.createInsecure(), (error, assignedPort) => {
+            if (error === null) {
+                resolve(assignedPort);
             }
             else {
-                injector.injectConnection(socket);
+                reject(error);
             }
         });
     });
-    await new Promise<void>((resolve, reject) => {
-        listener.once("error", reject);
-        listener.listen(port, host, resolve);
-    });
-    const bound = listener.address();
     return {
-        port: typeof bound === "object" && bound !== null ? bound.port : port,
+        port: boundPort,
         async close() {
-            listener.close();
             server.forceShutdown();
-            sockets.forEach(socket => socket.destroy());
         },
     };
 }
@@ -185,28 +161,24 @@
     const channels = new Map<string, network.Channel>();
 
     function createChannel(address: string): network.Channel {
-        let grpcClient: grpc.Client | undefined;
+        const client = new grpc.Client(address, grpc.credentials.createInsecure(), {
+            "grpc.max_receive_message_length": maxMessageBytes,
+            "grpc.initial_reconnect_backoff_ms": reconnectMs,
+            "grpc.max_reconnect_backoff_ms": maxReconnectMs,
+            "grpc.enable_retries": 0,
+        });
         let stream: callStreams.CallStream | undefined;
-        /** How calls are sent: the next way once the other process turned out to be of a version that doesn't serve this one. */
-        let way: "plain" | "stream" | "single" = "plain";
+        /** False once the other process turned out to be of a version that doesn't serve the stream of calls. */
+        let streamSupported = true;
         let closed = false;
 
-        /** The gRPC client, created when the first call needs it. */
-        function client(): grpc.Client {
-            grpcClient ??= new grpc.Client(address, grpc.credentials.createInsecure(), {
-                "grpc.max_receive_message_length": maxMessageBytes,
-                "grpc.initial_reconnect_backoff_ms": reconnectMs,
-                "grpc.max_reconnect_backoff_ms": maxReconnectMs,
-                "grpc.enable_retries": 0,
-            });
-            return grpcClient;
-        }
-
         function openStream(): callStreams.CallStream {
             if (stream?.isOpen() !== true) {
-                const opened = way === "plain"
-                    ? framedSockets.open(address, maxMessageBytes)
-                    : client().makeBidiStreamRequest(methodPath(callStreams.methodName), identity, identity);
+                const opened = client.makeBidiStreamRequest(
+                    methodPath(callStreams.methodName),
+                    identity,
+                    identity,
+                );
                 stream = callStreams.create(opened, codec);
             }
             return stream;
@@ -221,7 +193,7 @@
             return new Promise(resolve => {
                 // gRPC deadlines are wall-clock times, and the wall clock may jump.
                 const timer = setTimeout(() => call.cancel(), timeoutMs);
-                const call = client().makeUnaryRequest(
+                const call = client.makeUnaryRequest(
                     methodPath(method.name),
                     identity,
                     identity,
@@ -248,7 +220,6 @@
         ): network.Outcome<Reply> {
             return new Promise(resolve => {
                 const startedMs = performance.now();
-                const usedWay = way;
                 const timer = setTimeout(() => {
                     call.cancel();
                     const details = `no reply within ${Math.round(timeoutMs)} ms`;
@@ -263,8 +234,8 @@
                     failed(cause) {
                         clearTimeout(timer);
                         if (cause.code === grpc.status.UNIMPLEMENTED && !cause.established && !closed) {
-                            way = usedWay === "plain" && way !== "single" ? "stream" : "single";
-                            resolve(send(method, request, timeoutMs - (performance.now() - startedMs)));
+                            streamSupported = false;
+                            resolve(callOnce(method, request, timeoutMs - (performance.now() - startedMs)));
                             return;
                         }
                         const error = cause.established ? { ...cause, code: undefined } : cause;
@@ -274,16 +245,6 @@
             });
         }
 
-        function send<Request, Reply>(
-            method: messages.Method<Request, Reply>,
-            request: Request,
-            timeoutMs: number,
-        ): network.Outcome<Reply> {
-            return way === "single" || method.large === true
-                ? callOnce(method, request, timeoutMs)
-                : callOnStream(method, request, timeoutMs);
-        }
-
         return {
             call(method, request, timeoutMs) {
                 if (closed) {
@@ -291,13 +252,15 @@
                     const cause = failure.create(failure.Code.peerUnreachable, address, message, reconnectMs);
                     return Promise.resolve(neverthrow.err(cause));
                 }
-                return send(method, request, timeoutMs);
+                return streamSupported && method.large !== true
+                    ? callOnStream(method, request, timeoutMs)
+                    : callOnce(method, request, timeoutMs);
             },
             close() {
                 closed = true;
                 channels.delete(address);
                 stream?.close();
-                grpcClient?.close();
+                client.close();
             },
         };
     }
