--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -72,7 +72,7 @@
     container.bind(id.platform).toDynamicValue(() =>
         environment.platform((kind, result) => metrics().countPlatformCall(kind, result), era)
     ).inSingletonScope();
-    container.bind(id.network).toDynamicValue(() => grpc.createNetwork()).inSingletonScope();
+    container.bind(id.network).toDynamicValue(() => environment.meter.network(grpc.createNetwork())).inSingletonScope();
     container.bind(id.leadership).toConstantValue(
         leaderships.createLeadership({ maxProofAgeMs: timings.maxProofAgeMs, graceMs: timings.handoverGraceMs }),
     );
@@ -91,7 +91,7 @@
             clock,
             events: events(),
             random: environment.random,
-            localDigest: () => clusterView().localDigest(),
+            localDigest: environment.meter.measured("exchange", () => clusterView().localDigest()),
             room: () => hostRoom.report(),
             isUrgent: () => clusterView().lacksProof(),
             onDigest: (digest, sentMs) => clusterView().mergeDigest(digest, sentMs),
@@ -292,6 +292,7 @@
 
     const components = () => ({
         clock,
+        meter: environment.meter,
         era,
         events: events(),
         clusterView: clusterView(),
@@ -330,7 +331,7 @@
 
     lifecycle.add(peerServices.createPeerService({
         settings,
-        handlers: () => peerHandlers.createHandlers(components()),
+        handlers: () => environment.meter.handlers(peerHandlers.createHandlers(components())),
         network: () => container.get<network.Network>(id.network),
         peers,
         news: () => reading().news,
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -78,6 +78,7 @@
         message: "A transaction was rolled back, as the host that it is for has fallen silent.",
     },
     measured: { ...stateChange, message: "Activity of this host since the previous report." },
+    processorMeasured: { ...stateChange, message: "Processor time by activity since the previous report." },
     transactionLost: { ...problem, message: "Transaction rolled back." },
 } as const satisfies Readonly<Record<string, Definition>>;
 
--- a/src/proxy/gauges.ts
+++ b/src/proxy/gauges.ts
@@ -8,6 +8,7 @@
 import type * as groups from "./group.js";
 import type * as hostRooms from "./hostroom.js";
 import type * as metrics from "./metrics.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
 
@@ -22,6 +23,7 @@
     readonly failoverLock: failoverLocks.HeldLock;
     readonly evacuations: evacuations.Evacuations;
     readonly hostRoom: hostRooms.HostRoom;
+    readonly meter: processorMeters.Meter;
     /** Open connections of callers. */
     readonly callers: number;
 }
@@ -46,6 +48,7 @@
         proofAgeMs: leadership.proofAgeMs(clock.now()),
         holdsFailoverLock: sources.failoverLock.fencingToken() !== undefined,
         evacuatedFailureDomains: sources.evacuations.evacuated(),
+        processorMs: sources.meter.usedMs() ?? {},
         ...sources.storeNews.gauges(),
     };
 }
--- a/src/proxy/host.ts
+++ b/src/proxy/host.ts
@@ -3,6 +3,7 @@
 import type * as store from "../ports/store.js";
 import type * as eventLogs from "./events.js";
 import type * as platforms from "./platform.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as settingsFile from "./settings.js";
 
 /** What the host needs from its process. */
@@ -15,6 +16,8 @@
     random(): number;
     /** What the process has used; absent where several hosts share a process. */
     readonly processUsage?: (() => runtime.ProcessUsage) | undefined;
+    /** Measures what the processor time is used for; the other fields are measured already. */
+    readonly meter: processorMeters.Meter;
     /** Identifies this process; a restarted host has another value. */
     readonly incarnation: string;
 }
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -8,6 +8,7 @@
 import type * as eventLogs from "./events.js";
 import * as hostRooms from "./hostroom.js";
 import type * as gossip from "./peers.js";
+import type * as processorMeters from "./processormeter.js";
 import type * as readinessStates from "./readinessstate.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
@@ -21,6 +22,7 @@
     readonly evacuations: evacuations.Evacuations;
     readonly hostRoom: hostRooms.HostRoom;
     readonly limiter: limiters.Limiter;
+    readonly meter: processorMeters.Meter;
     readonly peers: gossip.Peers;
     readonly readiness: readinessStates.Readiness;
     readonly storeNews: storeNewsExchange.StoreNews;
@@ -40,6 +42,20 @@
 export function start(components: Components): () => void {
     const { clock, clusterView, peers, limiter, events } = components;
     const startMs = clock.now();
+    let reportedMs: Readonly<Record<string, number>> = {};
+
+    function reportProcessorTime(): void {
+        const usedMs = components.meter.usedMs();
+        if (usedMs !== undefined) {
+            const previousMs = reportedMs;
+            reportedMs = usedMs;
+            const sinceMs = Object.entries(usedMs).map(([name, ms]) =>
+                [name, Math.round((ms - (previousMs[name] ?? 0)) * 10) / 10] as const
+            );
+            events.emit("processorMeasured", { usedMs: Object.fromEntries(sinceMs) });
+        }
+    }
+
     const stops = [
         clock.every(checkIntervalMs, () => {
             clusterView.checkSuspension();
@@ -48,6 +64,9 @@
             components.storeNews.check();
             components.evacuations.check();
             components.readiness.report();
+            if (components.readiness.ready()) {
+                components.meter.endStart();
+            }
         }),
         clock.every(leaseIntervalMs, () => {
             components.sharing.renew();
@@ -67,6 +86,7 @@
             if (report !== undefined) {
                 events.emit("measured", { ...report, load: components.hostRoom.load() });
             }
+            reportProcessorTime();
         }),
     ];
     return () => stops.forEach(stop => stop());
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -76,6 +76,8 @@
         /** Whether transactions run there too, each statement of which then takes a hop; otherwise they open a connection. */
         transactions: z.boolean().default(false),
     }).readonly().default({ enabled: false, minHosts: 17, transactions: false }),
+    /** Whether the host measures what its processor time is used for, in the metrics and each 5 s in the log. */
+    measureProcessor: z.boolean().default(false),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 }).readonly();
 
