Relay the usage of limits between hosts of a fleet of several cells

Cause: with several cells, what a host admitted reaches the others over three hops of 1 s, most shares belong to idle hosts, and a restarted host begins with less than the others see remaining.

Change: hosts with recent demand report their usage every 250 to 500 ms, in turn, to the two strongest hosts, which answer with the reports of hosts with the same organisations. Counts of relays and gossip are combined as lower bounds of the truth. The tolerance is spent only while that knowledge is young; a late relay degrades to the gossip's rules. The bounds of the tests are unchanged.

--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -4,7 +4,7 @@
 import * as grpc from "../adapters/grpc.js";
 import * as directories from "../core/directory.js";
 import * as leaderships from "../core/leadership.js";
-import * as limiters from "../core/limiter.js";
+import type * as limiters from "../core/limiter.js";
 import * as policies from "../core/policy.js";
 import * as storeEras from "../core/storeera.js";
 import * as lifecycles from "../daemon/lifecycle.js";
@@ -39,6 +39,7 @@
 import * as settingsFile from "./settings.js";
 import * as storeSyncs from "./storesync.js";
 import * as transactions from "./transactions.js";
+import * as usageExchanges from "./usageexchange.js";
 
 /**
  * Age up to which a proof of the records is valid: three polls of the store, of which one may be lost. A replacement of
@@ -94,12 +95,6 @@
         leaderships.createLeadership({ maxProofAgeMs, graceMs: handoverGraceMs }),
     );
     container.bind(id.directory).toConstantValue(directories.createDirectory({ missingGraceMs, outageGapMs }));
-    container.bind(id.limiter).toConstantValue(
-        limiters.createLimiter({
-            tolerance: settingsFile.toleranceOf(settings),
-            hearsAllDirectly: () => peers().cellCount() === 1,
-        }),
-    );
     container.bind(id.peers).toDynamicValue(() =>
         gossip.createPeers({
             self: () => self,
@@ -113,6 +108,15 @@
             onDigest: (digest, sentMs) => clusterView().mergeDigest(digest, sentMs),
         })
     ).inSingletonScope();
+    container.bind(id.usageExchange).toDynamicValue(() =>
+        usageExchanges.createUsageExchange({
+            clock,
+            self: () => self,
+            peers,
+            tolerance: settingsFile.toleranceOf(settings),
+            count: result => metrics().countUsageReport(result),
+        })
+    ).inSingletonScope();
     container.bind(id.storeSync).toDynamicValue(() =>
         storeSyncs.createStoreSync({
             self: () => self,
@@ -266,7 +270,8 @@
     const leadership = (): leaderships.Leadership => container.get(id.leadership);
     const directory = (): directories.Directory => container.get(id.directory);
     const coldGate = (): coldGates.ColdGate => container.get(id.coldGate);
-    const limiter = (): limiters.Limiter => container.get(id.limiter);
+    const limiter = (): limiters.Limiter => usageExchange().limiter;
+    const usageExchange = (): usageExchanges.UsageExchange => container.get(id.usageExchange);
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
     const storeSync = (): storeSyncs.StoreSync => container.get(id.storeSync);
@@ -301,6 +306,7 @@
         directory: directory(),
         leadership: leadership(),
         limiter: limiter(),
+        usageExchange: usageExchange(),
         failoverLock: failoverLock(),
         evacuations: evacuations(),
     });
@@ -323,9 +329,11 @@
             const handlers = peerHandlers.createHandlers(components());
             peerServer = await grpc.serve(settings.peers.host, settings.peers.port, handlers);
             peers().start();
+            usageExchange().start();
         },
         async close() {
             reading().news.close();
+            usageExchange().close();
             peers().close();
             container.get<network.Network>(id.network).close();
             await peerServer?.close();
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -42,6 +42,8 @@
     countStoreRestoration(): void;
     /** Counts a question to another host for what it has learnt from the store. */
     countNews(result: string): void;
+    /** Counts a report of usage to a relay. */
+    countUsageReport(result: string): void;
     /** All metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -101,6 +103,12 @@
         labelNames: ["result"],
         registers,
     });
+    const usageReports = new prometheus.Counter({
+        name: "hyssophatch_usage_reports_total",
+        help: "Reports of the use of limits to relays, by result: answered or missed.",
+        labelNames: ["result"],
+        registers,
+    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const spillover = gauge(
@@ -137,6 +145,7 @@
         permitAsked: result => permits.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
+        countUsageReport: result => usageReports.inc({ result }),
         countNews: result => news.inc({ result }),
         render() {
             const gauges = readGauges();
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -10,6 +10,7 @@
 import type * as gossip from "./peers.js";
 import type * as storeNews from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
+import type * as usageExchanges from "./usageexchange.js";
 
 /** Components that the handlers use. */
 export interface Options {
@@ -19,6 +20,7 @@
     readonly clusterView: clusterViews.ClusterView;
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNews.StoreNews;
+    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 /** Creates the handlers of all calls between hosts: digests, records, news of the store, configuration, endpoints. */
@@ -39,6 +41,7 @@
             messages.peer.permit,
             async ({ endpoint, ...request }) => neverthrow.ok(options.coldGate.issue(endpoint, request)),
         ),
+        grpc.handle(messages.peer.usage, async report => neverthrow.ok(options.usageExchange.handleReport(report))),
         grpc.handle(messages.peer.catalogue, async () => {
             const { endpointListing } = storeSync;
             return neverthrow.ok({
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -1,5 +1,4 @@
 /** What a host does at fixed intervals, apart from its gossip and its calls to the store. */
-import type * as limiters from "../core/limiter.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as activities from "./activity.js";
 import type * as clusterViews from "./clusterview.js";
@@ -9,6 +8,7 @@
 import type * as readinessStates from "./readinessstate.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
+import type * as usageExchanges from "./usageexchange.js";
 
 /** Components that have periodic tasks. */
 export interface Components {
@@ -17,11 +17,11 @@
     readonly activity: activities.ActivityCounter;
     readonly clusterView: clusterViews.ClusterView;
     readonly evacuations: evacuations.Evacuations;
-    readonly limiter: limiters.Limiter;
     readonly peers: gossip.Peers;
     readonly readiness: readinessStates.Readiness;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly storeSync: storeSyncs.StoreSync;
+    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 const checkIntervalMs = 100;
@@ -33,7 +33,7 @@
 
 /** Starts the tasks; the returned function ends them. */
 export function start(components: Components): () => void {
-    const { clock, clusterView, peers, limiter, events } = components;
+    const { clock, clusterView, peers, events } = components;
     const startMs = clock.now();
     const stops = [
         clock.every(checkIntervalMs, () => {
@@ -46,7 +46,7 @@
         }),
         clock.every(usageReportIntervalMs, () => {
             if (peers.all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
-                limiter.applyReports(peers.usageReports(), clock.now());
+                components.usageExchange.applyReports();
             }
         }),
         clock.every(peerRefreshIntervalMs, () => clusterView.refreshFromPeer()),
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -20,6 +20,7 @@
 import * as restorers from "../src/proxy/restoration.js";
 import type * as storeNewsExchange from "../src/proxy/storenews.js";
 import * as storeSyncs from "../src/proxy/storesync.js";
+import * as usageExchanges from "../src/proxy/usageexchange.js";
 import * as simulatedEndpoints from "./simulatedendpoints.js";
 import * as simulatedNetworks from "./simulatednetwork.js";
 import * as simulation from "./simulation.js";
@@ -34,6 +35,7 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly peers: gossip.Peers;
+    readonly limiter: limiters.Limiter;
     readonly evacuations: evacuationViews.Evacuations;
     readonly era: storeEra.StoreEra;
     /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
@@ -68,6 +70,7 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly source: configurationTransfer.Source;
+    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 const silent = { kind: "unreachable" as const };
@@ -121,6 +124,8 @@
                 const { endpointListing } = remote.storeSync;
                 return { endpoints: endpointListing.endpoints(), ageMs: endpointListing.summary(clock.now())?.ageMs };
             }
+            case messages.peer.usage.name:
+                return remote.usageExchange.handleReport(request as messages.UsageReport);
             case messages.peer.news.name:
                 return remote.storeNews.answer(request as messages.NewsQuestion);
             default:
@@ -170,7 +175,14 @@
         );
         const leadership = leaderships.createLeadership({ maxProofAgeMs, graceMs });
         const directory = directories.createDirectory({ missingGraceMs: 2_500, outageGapMs: 2_500 });
-        const limiter = limiters.createLimiter();
+        const usageExchange = usageExchanges.createUsageExchange({
+            clock: hostClock,
+            self: () => self,
+            peers: () => peers,
+            tolerance: limiters.noTolerance,
+            count: () => undefined,
+        });
+        const { limiter } = usageExchange;
         const peers = gossip.createPeers({
             self: () => self,
             seeds: [],
@@ -316,20 +328,23 @@
             onChange: () => undefined,
         });
         const source = configurationTransfer.createSource(storeSync.configuration);
-        running[host] = { peers, clusterView, storeSync, storeNews, source };
+        running[host] = { peers, clusterView, storeSync, storeNews, source, usageExchange };
         peers.start();
+        usageExchange.start();
         storeSync.start();
         coordinator.start();
         const stopEvaluation = hostClock.every(100, () => {
             clusterView.evaluateProof();
             storeNews.check();
             evacuations.check();
+            usageExchange.applyReports();
         });
         return {
             leadership,
             storeSync,
             storeNews,
             peers,
+            limiter,
             evacuations,
             era,
             fencingToken: () => lock.fencingToken(),
@@ -338,6 +353,7 @@
                 stopEvaluation();
                 coordinator.close();
                 storeNews.close();
+                usageExchange.close();
                 storeSync.close();
                 peers.close();
             },
