--- a/src/proxy/connectionsharing.ts
+++ b/src/proxy/connectionsharing.ts
@@ -12,7 +12,7 @@
 /** Settings and collaborators. */
 export type Options =
     & Omit<holderViews.Options, "reasonAgainst">
-    & Pick<relays.Options, "directory" | "metrics" | "peers" | "transactions">
+    & Pick<relays.Options, "directory" | "metrics" | "ownConnections" | "peers" | "transactions">
     & Omit<relayServices.Options, "isLeaving" | "limit">
     & { readonly clock: runtime.HostClock };
 
--- a/src/proxy/relay.test.ts
+++ b/src/proxy/relay.test.ts
@@ -67,6 +67,16 @@
         chai.expect([fleet.open(origin), fleet.open(holder)]).to.deep.equal([0, 1]);
     });
 
+    it("run at the holder however frequent they are, where hosts are to open no connections of their own", async () => {
+        const fleet = simulated.createFleet(true, true, false);
+        const [origin, holder] = [fleet.originFor("cluj"), fleet.holderOf("cluj")];
+        for (const name of ["a", "b", "c", "d"]) {
+            await simulated.settle(fleet, fleet.execute(origin, simulated.read(name)));
+        }
+        chai.expect(fleet.runs.map(run => run.host)).to.deep.equal([holder, holder, holder, holder]);
+        chai.expect(fleet.dials).to.deep.equal([holder]);
+    });
+
     it("run at another holder, and at once, when the first one's address refuses connections", async () => {
         const fleet = simulated.createFleet();
         const origin = fleet.originFor("cluj");
--- a/src/proxy/relay.ts
+++ b/src/proxy/relay.ts
@@ -33,6 +33,8 @@
     readonly health: peerHealth.PeerHealth;
     /** Whether transactions are relayed; otherwise each opens a connection of its host. */
     readonly transactions: boolean;
+    /** Whether statements that come often, or find an idle connection of this host, run on connections of its own. */
+    readonly ownConnections: boolean;
     holders(): holders.Holders;
     peers(): Pick<gossip.Peers, "all" | "call">;
     /** This host's own service, which serves when no holder does. */
@@ -324,10 +326,9 @@
             const { endpoint, context, pool } = request;
             const isFrequent = frequencies.note(endpoint, context.organisation, clock.now());
             // A statement that would wait here for a connection is better off at the holder.
-            if (
-                pool?.hasIdle(context.organisation) === true || (request.isTransaction && !options.transactions)
-                || (isFrequent && (pool?.load() ?? 0) < maxOwnLoad)
-            ) {
+            const staysHere = options.ownConnections
+                && (pool?.hasIdle(context.organisation) === true || (isFrequent && (pool?.load() ?? 0) < maxOwnLoad));
+            if (staysHere || (request.isTransaction && !options.transactions)) {
                 return undefined;
             }
             const decision = options.holders().decide(endpoint, context.organisation, context.homes);
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -75,7 +75,9 @@
         minHosts: z.number().int().min(2).default(17),
         /** Whether transactions run there too, each statement of which then takes a hop; otherwise they open a connection. */
         transactions: z.boolean().default(false),
-    }).readonly().default({ enabled: false, minHosts: 17, transactions: false }),
+        /** Whether hosts that are not holders open connections of their own for statements that come often. */
+        ownConnections: z.boolean().default(true),
+    }).readonly().default({ enabled: false, minHosts: 17, transactions: false, ownConnections: true }),
     /** Whether the host measures what its processor time is used for, in the metrics and each 5 s in the log. */
     measureProcessor: z.boolean().default(false),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/standins/simulatedholders.ts
+++ b/standins/simulatedholders.ts
@@ -77,7 +77,7 @@
 });
 
 /** Creates four hosts in one failure domain. */
-export function createFleet(enabled = true, relaysTransactions = true): Fleet {
+export function createFleet(enabled = true, relaysTransactions = true, ownConnections = true): Fleet {
     const clock = simulation.createClock();
     const numbers = Array.from({ length: hostCount }, (_, number) => number);
     const fleetState = { isPrimary: true, endpointIsDown: false, born: 1 };
@@ -273,6 +273,7 @@
             enabled,
             minHosts: hostCount,
             transactions: relaysTransactions,
+            ownConnections,
             clock,
             events,
             metrics: { relayed: () => undefined },
