Let settings switch the relays of usage and the yielding of full hosts on; both are off unless asked for

Ruled out: connection holders (off below 48 hosts).

Settings relayUsage and yieldWithoutRoom, both false unless given. Without the first, fleets of several cells know each other's usage by digests alone, as before, and refuse as much as before; without the second, room is measured, told and shown, and nothing acts on it.

Test: a full host that is not to yield stays ready, keeps its duties, and tells its room all the same.

--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -99,6 +99,7 @@
             self: () => self,
             peers,
             tolerance: settingsFile.toleranceOf(settings),
+            relays: settings.relayUsage,
             count: result => metrics().countUsageReport(result),
         })
     ).inSingletonScope();
--- a/src/proxy/hostroom.test.ts
+++ b/src/proxy/hostroom.test.ts
@@ -8,7 +8,7 @@
 type Emitted = readonly [name: string, fields: runtime.Fields];
 
 /** A host of 0.5 cores with seven neighbours, on a clock of its own. */
-function createHost(measures = true): {
+function createHost(measures = true, yields = true): {
     readonly room: hostRooms.HostRoom;
     readonly readiness: readinessStates.Readiness;
     readonly emitted: readonly Emitted[];
@@ -44,6 +44,7 @@
             processor: { share: 0.5, cores: 1 },
             memoryMegabytes: undefined,
             linkMegabitsPerSecond: undefined,
+            yieldWithoutRoom: yields,
         },
         clock: { now: () => nowMs, sleep: async () => undefined, every: () => () => undefined },
         processUsage: measures ? () => ({ loopBusyMs, processorMs: 0, memoryBytes: 0 }) : undefined,
@@ -88,6 +89,14 @@
         chai.expect(host.room.shouldHandOver()).to.equal(false);
     });
 
+    it("is only told to the others unless the settings let the host yield", () => {
+        const host = createHost(true, false);
+        host.run(20_000, 1);
+        chai.expect([host.readiness.ready(), host.room.shouldHandOver()]).to.deep.equal([true, false]);
+        chai.expect(host.room.report()).to.deep.include({ strained: false, inRotation: true, claim: undefined });
+        chai.expect(host.room.report()?.spare).to.be.below(0.1);
+    });
+
     it("stays in rotation when the neighbours are busy as well", () => {
         const host = createHost();
         host.run(10_000, 0.4);
--- a/src/proxy/hostroom.ts
+++ b/src/proxy/hostroom.ts
@@ -10,7 +10,10 @@
 
 /** Settings and collaborators. */
 export interface Options {
-    readonly settings: Pick<settingsFile.Settings, "id" | "processor" | "memoryMegabytes" | "linkMegabitsPerSecond">;
+    readonly settings: Pick<
+        settingsFile.Settings,
+        "id" | "processor" | "memoryMegabytes" | "linkMegabitsPerSecond" | "yieldWithoutRoom"
+    >;
     readonly clock: runtime.Clock;
     /** What the process has used; undefined where that can't be measured: the host then reports no room. */
     readonly processUsage?: (() => runtime.ProcessUsage) | undefined;
@@ -48,7 +51,7 @@
 /** Creates the room of a host that has not been measured, and is in rotation. */
 export function createHostRoom(options: Options): HostRoom {
     const { settings, clock } = options;
-    const { memoryMegabytes, linkMegabitsPerSecond, processor } = settings;
+    const { memoryMegabytes, linkMegabitsPerSecond, processor, yieldWithoutRoom } = settings;
     const meter = rooms.createMeter({
         cores: processor.share * processor.cores,
         memoryBytes: memoryMegabytes === undefined ? undefined : memoryMegabytes * bytesPerMegabyte,
@@ -84,6 +87,9 @@
             checkedMs = nowMs;
             meter.measure({ ...used, timerDelayMs, callerBytes: options.callers()?.byteCount() ?? 0 }, nowMs);
             const load = meter.load();
+            if (!yieldWithoutRoom) {
+                return;
+            }
             rotation.decide({
                 nowMs,
                 id: settings.id,
@@ -96,7 +102,7 @@
         report: () =>
             options.processUsage === undefined ? undefined : {
                 spare: meter.spare(),
-                strained: meter.strained(),
+                strained: yieldWithoutRoom && meter.strained(),
                 inRotation: rotation.inRotation() && options.otherwiseReady(),
                 claim: rotation.claim(),
             },
@@ -106,7 +112,7 @@
         shouldHandOver() {
             const { live, rooms: view } = options.peers();
             const others = live().filter(peer => !peer.member.leaving).map(peer => peer.member.id);
-            return meter.strained() && duties.shouldHandOver(true, others.map(view.claimToDuties));
+            return yieldWithoutRoom && meter.strained() && duties.shouldHandOver(true, others.map(view.claimToDuties));
         },
     };
 }
--- a/src/proxy/usageexchange.ts
+++ b/src/proxy/usageexchange.ts
@@ -17,6 +17,8 @@
     self(): messages.Member;
     peers(): gossip.Peers;
     readonly tolerance: limiters.Tolerance;
+    /** Whether hosts of a fleet of several cells report to relays. */
+    readonly relays: boolean;
     /** Counts a report to a relay. */
     count(result: "answered" | "missed"): void;
 }
@@ -85,10 +87,11 @@
     let appliedMs = -Infinity;
     let stop: (() => void) | undefined;
 
-    const usesRelays = (): boolean => options.peers().cellCount() > 1;
+    const isOneCell = (): boolean => options.peers().cellCount() === 1;
+    const usesRelays = (): boolean => options.relays && !isOneCell();
     const limiter = limiters.createLimiter({
         tolerance: options.tolerance,
-        hearsAllLately: nowMs => !usesRelays() || relayed.isFresh(nowMs),
+        hearsAllLately: nowMs => isOneCell() || (options.relays && relayed.isFresh(nowMs)),
     });
 
     function apply(): void {
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -179,6 +179,7 @@
             self: () => self,
             peers: () => peers,
             tolerance: limiters.noTolerance,
+            relays: true,
             count: () => undefined,
         });
         const { limiter } = usageExchange;
