--- a/src/core/admissionqueue.ts
+++ b/src/core/admissionqueue.ts
@@ -50,8 +50,8 @@
 export interface AdmissionQueue<T> {
     /** Admits the ticket, or refuses it with the time until there is room for it. */
     offer(ticket: Ticket<T>, nowMs: number, room: Room): Admission<T>;
-    /** Removes and returns the next ticket for which the predicate is true; undefined if there is none. */
-    take(nowMs: number, room: Room, accepts?: (ticket: Ticket<T>) => boolean): Ticket<T> | undefined;
+    /** Removes and returns the next ticket; undefined if the queue is empty. */
+    take(nowMs: number, room: Room): Ticket<T> | undefined;
     /** Removes and returns the tickets that can't be taken before their deadline any more. */
     removeHopeless(nowMs: number, room: Room): readonly Ticket<T>[];
     /** Removes and returns the tickets for which the predicate is true. */
@@ -261,10 +261,9 @@
             tickets = [...tickets, ticket];
             return { admitted: true, displaced: displaced === undefined ? [] : [displaced] };
         },
-        take(nowMs, room, accepts = () => true) {
-            const accepted = tickets.filter(accepts);
-            const within = accepted.filter(entry => !usage.exceedsShare(entry.organisation, nowMs));
-            const eligible = within.length > 0 ? within : accepted;
+        take(nowMs, room) {
+            const within = tickets.filter(entry => !usage.exceedsShare(entry.organisation, nowMs));
+            const eligible = within.length > 0 ? within : tickets;
             const timely = eligible.filter(entry => isTimely(entry, nowMs, room));
             const late = eligible.filter(entry => !isTimely(entry, nowMs, room));
             const [firstLate] = late;
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -6,7 +6,6 @@
 import * as neverthrow from "neverthrow";
 import * as admissionQueues from "../core/admissionqueue.js";
 import type * as connectionShares from "../core/connectionshares.js";
-import * as dialPacing from "../core/dialpacing.js";
 import * as failure from "../core/failure.js";
 import type * as connections from "../ports/connection.js";
 import type * as runtime from "../ports/runtime.js";
@@ -93,9 +92,6 @@
     idleSinceMs: number;
 }
 
-/** Why no connection was opened: the endpoint is full, or the failure for the caller. */
-type DialFailure = failure.Failure | "full";
-
 interface Waiter {
     readonly request: AcquireRequest;
     readonly resolve: (result: neverthrow.Result<PooledConnection, failure.Failure>) => void;
@@ -110,6 +106,8 @@
 const fullBackoffMs = 2_000;
 /** Time after which an idle connection above the guaranteed share is closed. */
 const idleTimeoutMs = 500;
+/** Pause before the next connection attempt at an endpoint that is full. */
+const dialRetryMs = 150;
 const defaultRetryAfterMs = 100;
 /** Shortest time over which the returns of refused callers are spread. */
 const minSpreadMs = 50;
@@ -123,7 +121,6 @@
     /** Position in the sequence of spread times to come back; the phase differs from host to host. */
     let spreadPart = clock.now() % 1;
     let inversions = 0;
-    const pacing = dialPacing.createDialPacing();
     let idle: PoolEntry[] = [];
     const inUse = new Set<PoolEntry>();
     /** Connections in use or being opened. */
@@ -152,8 +149,7 @@
     }
 
     function room(): admissionQueues.Room {
-        const usable = activeCount + idle.length + pacing.room(clock.now());
-        const concurrency = Math.max(1, Math.min(connectionLimit(), usable));
+        const concurrency = connectionLimit();
         return {
             concurrency,
             underWay: activeCount,
@@ -220,46 +216,42 @@
         };
     }
 
-    async function dial(request: AcquireRequest): Promise<neverthrow.Result<PoolEntry, DialFailure>> {
+    async function dial(request: AcquireRequest): Promise<neverthrow.Result<PoolEntry, failure.Failure>> {
         const { endpoint, group, address } = options;
-        const remainingMs = request.deadlineMs - clock.now();
-        if (remainingMs <= 0 || closed) {
-            return neverthrow.err(overloaded(defaultRetryAfterMs));
-        }
-        const startedMs = clock.now();
-        const target = { endpoint, group, address, organisation: request.organisation };
-        pacing.begin();
-        const dialed = await options.dialer.dial(target, Math.min(dialTimeoutMs, remainingMs));
-        const isFull = dialed.isErr() && typeof dialed.error === "string" && dialed.error !== "misrouted";
-        spreadPart = (spreadPart + goldenRatio) % 1;
-        // Only a refusal within the guaranteed part shows that the endpoint counts connections that are gone.
-        const lacksGuaranteed = isFull && activeCount + idle.length <= Math.max(1, options.share().guaranteed);
-        pacing.end(dialed.isOk() ? "opened" : lacksGuaranteed ? "full" : "failed", clock.now(), spreadPart);
-        if (dialed.isOk()) {
-            options.onReply();
-            const { organisation } = request;
-            return neverthrow.ok({
-                connection: dialed.value,
-                organisation,
-                variables: new Map(),
-                prepared: new Map(),
-                idleSinceMs: clock.now(),
-            });
-        }
-        if (isFull) {
-            // A full endpoint is alive.
+        for (;;) {
+            const remainingMs = request.deadlineMs - clock.now();
+            if (remainingMs <= 0 || closed) {
+                return neverthrow.err(overloaded(defaultRetryAfterMs));
+            }
+            const startedMs = clock.now();
+            const target = { endpoint, group, address, organisation: request.organisation };
+            const dialed = await options.dialer.dial(target, Math.min(dialTimeoutMs, remainingMs));
+            if (dialed.isOk()) {
+                options.onReply();
+                const { organisation } = request;
+                return neverthrow.ok({
+                    connection: dialed.value,
+                    organisation,
+                    variables: new Map(),
+                    prepared: new Map(),
+                    idleSinceMs: clock.now(),
+                });
+            }
+            if (typeof dialed.error !== "string" || dialed.error === "misrouted") {
+                const error = typeof dialed.error === "string"
+                    ? { timedOut: false, message: "a different endpoint answers at its address" }
+                    : dialed.error;
+                options.onFailure(startedMs, error);
+                const message = `Endpoint ${endpoint} can't be reached: ${error.message}.`;
+                return neverthrow.err(
+                    failure.create(failure.Code.endpointUnreachable, endpoint, message, defaultRetryAfterMs),
+                );
+            }
+            // The endpoint is full, which also shows that it is alive.
             options.onReply();
             fullUntilMs = clock.now() + fullBackoffMs;
-            return neverthrow.err("full");
+            await clock.sleep(dialRetryMs);
         }
-        const error = typeof dialed.error === "string"
-            ? { timedOut: false, message: "a different endpoint answers at its address" }
-            : dialed.error;
-        options.onFailure(startedMs, error);
-        const message = `Endpoint ${endpoint} can't be reached: ${error.message}.`;
-        return neverthrow.err(
-            failure.create(failure.Code.endpointUnreachable, endpoint, message, defaultRetryAfterMs),
-        );
     }
 
     async function serve(waiter: Waiter): Promise<void> {
@@ -273,40 +265,16 @@
         const dialed = await dial(waiter.request);
         if (dialed.isErr()) {
             activeCount -= 1;
-            if (dialed.error === "full") {
-                enqueue(waiter);
-            }
-            else {
-                waiter.resolve(neverthrow.err(dialed.error));
-            }
+            waiter.resolve(neverthrow.err(dialed.error));
             dispatch();
             return;
         }
         waiter.resolve(neverthrow.ok(checkOut(dialed.value, waiter.request)));
-        // The pacing may have room for more connections now.
-        dispatch();
-    }
-
-    /** Queues a statement, or refuses it at once. */
-    function enqueue(waiter: Waiter): void {
-        const { organisation, deadlineMs, targetMs, priority } = waiter.request;
-        const ticket = { organisation, deadlineMs, targetMs, priority, value: waiter };
-        const admission = queue.offer(ticket, clock.now(), room());
-        if (admission.admitted) {
-            refuse(admission.displaced, defaultRetryAfterMs);
-        }
-        else {
-            refuse([ticket], admission.roomInMs);
-        }
     }
 
-    const hasIdle = (organisation: string): boolean =>
-        idle.some(entry => entry.organisation === organisation && entry.connection.isOpen());
-
     function dispatch(): void {
         while (activeCount < connectionLimit()) {
-            const mayDial = pacing.room(clock.now()) > 0;
-            const ticket = queue.take(clock.now(), room(), entry => mayDial || hasIdle(entry.organisation));
+            const ticket = queue.take(clock.now(), room());
             if (ticket === undefined) {
                 return;
             }
@@ -347,11 +315,18 @@
                     resolve(neverthrow.err(overloaded(defaultRetryAfterMs)));
                     return;
                 }
-                enqueue({ request, resolve });
+                const { organisation, deadlineMs, targetMs, priority } = request;
+                const ticket = { organisation, deadlineMs, targetMs, priority, value: { request, resolve } };
+                const admission = queue.offer(ticket, clock.now(), room());
+                if (!admission.admitted) {
+                    refuse([ticket], admission.roomInMs);
+                    return;
+                }
+                refuse(admission.displaced, defaultRetryAfterMs);
                 dispatch();
             });
         },
-        hasIdle,
+        hasIdle: organisation => idle.some(entry => entry.organisation === organisation && entry.connection.isOpen()),
         load: () => activeCount + queue.length(),
         size: () => activeCount + idle.length,
         closeInUse: () => inUse.forEach(entry => entry.connection.close()),
