--- a/src/core/limiter.ts
+++ b/src/core/limiter.ts
@@ -9,10 +9,31 @@
 import * as demands from "./demand.js";
 import * as failure from "./failure.js";
 import * as bounds from "./limits.js";
-import * as relays from "./usagerelay.js";
 
 export * from "./limits.js";
 
+/** Whether an operation is admitted, and the state that led to the decision. */
+export interface Decision {
+    readonly admitted: boolean;
+    /** Time after which a refused caller should retry, in milliseconds; 0 when admitted. */
+    readonly retryAfterMs: number;
+    readonly state: LimiterState;
+}
+
+/** State of one organisation's bucket at this host, for log lines. */
+export interface LimiterState {
+    /** Tokens remaining for all hosts together. */
+    readonly left: number;
+    /** Operations that this host may admit before the next exchange. */
+    readonly credit: number;
+    /** This host's share of the limit, from 0 to 1. */
+    readonly part: number;
+    /** Number of hosts that share the limit. */
+    readonly hosts: number;
+    /** Fraction of the limit that the reporting hosts may use; the rest is withheld for suspected hosts. */
+    readonly reach: number;
+}
+
 /** Admits operations within the limits of their organisations. */
 export interface Limiter {
     /** Replaces the limits; organisations without one are refused. */
@@ -20,13 +41,9 @@
     /** Deducts what the other hosts admitted, and sets this host's shares anew. */
     applyReports(reports: bounds.UsageReports, nowMs: number): void;
     /** Admits one operation, or refuses it with the time after which to retry. */
-    admit(organisation: string, nowMs: number): bounds.Decision;
+    admit(organisation: string, nowMs: number): Decision;
     /** The usage that this host reports to the others. */
     usage(nowMs: number): bounds.UsageByOrganisation;
-    /** The usage that this host reports to relays: of organisations that callers have asked for lately. */
-    recentUsage(nowMs: number): relays.RecentUsageByOrganisation;
-    /** True if callers have asked for anything lately. */
-    hasRecentDemand(nowMs: number): boolean;
 }
 
 /** Token bucket of one organisation. */
@@ -45,11 +62,7 @@
     share: number;
     /** Fraction of the demand on all hosts that the limit lets through. */
     admittedFraction: number;
-    activeHosts: number;
     readonly demand: demands.Demand;
-    lastRequestMs: number;
-    /** When callers began to ask, after a while without a request. */
-    activeSinceMs: number;
     admittedCount: number;
     /** Admitted operations in the latest report from each other host, by the report's id. */
     readonly peerCounts: Map<string, number>;
@@ -57,12 +70,6 @@
 
 /** Added to the demand of every host, so that an idle host keeps a share for its first operation. */
 const idleDemandPerSecond = 0.3;
-/** Time within which a relay answers the first report of a host that callers begin to ask. */
-const firstAnswerMs = 600;
-/** Tokens for each host with demand that must remain for an operation from a reserve. */
-const reserveTokensPerHost = 0.2;
-/** Number of idle hosts that get a share where relays tell which hosts are idle; the others have their reserve. */
-const maxIdleShares = 2;
 /**
  * A new bucket holds the tokens that accrue in this time, as the host admitted nothing while it was starting, and those
  * that accrued since, as nobody reported to have spent any.
@@ -91,20 +98,19 @@
 const initialReserve = 2;
 /** Time in which the reserve grows by one operation while the bucket is full: about the time that a report travels. */
 const reserveGrowthMs = 600;
-/** Time for which a host that callers have asked for an organisation reports its usage to relays. */
-const activeMs = 10_000;
 /** An organisation with less demand and no admitted operations is left out of usage reports. */
 const minReportedDemandPerSecond = 0.1;
 
 /** Creates a limiter without limits, for a host that has had no usage reports yet. */
 export function createLimiter(options: bounds.Options = bounds.withoutTolerance): Limiter {
+    /** The tolerance covers only what hosts that hear of each other directly don't know of each other. */
+    const tolerance = (): bounds.Tolerance => (options.hearsAllDirectly() ? options.tolerance : bounds.noTolerance);
     let limits: ReadonlyMap<string, bounds.Limit> = new Map();
     const buckets = new Map<string, Bucket>();
     let hostCount: number | undefined;
     /** Reports of the previous exchange, by id. */
     let previousReports: ReadonlyMap<string, bounds.UsageReport> = new Map();
     let startedMs: number | undefined;
-    let lastRequestMs = -Infinity;
     /** Fraction of each limit that the reporting hosts may use; the rest is withheld for suspected hosts. */
     let reachableFraction = 1;
 
@@ -114,7 +120,7 @@
             return existing;
         }
         const fillMs = initialFillMs + nowMs - (startedMs ?? nowMs);
-        const fill = Math.max(limit.ratePerSecond * fillMs / 1_000, bounds.minExcessOf(limit, options.tolerance));
+        const fill = Math.max(limit.ratePerSecond * fillMs / 1_000, bounds.minExcessOf(limit, tolerance()));
         const tokens = Math.min(depthOf(limit, nowMs), fill) * reachableFraction;
         const share = 1 / (hostCount ?? assumedHostCount);
         const created: Bucket = {
@@ -126,10 +132,7 @@
             refilledMs: nowMs,
             share,
             admittedFraction: 1,
-            activeHosts: 1,
             demand: demands.createDemand(nowMs),
-            lastRequestMs: -Infinity,
-            activeSinceMs: nowMs,
             admittedCount: 0,
             peerCounts: new Map(),
         };
@@ -145,33 +148,7 @@
     /** Largest number of tokens that may be spent at once, over all hosts. */
     function depthOf(limit: bounds.Limit, nowMs: number): number {
         const runMs = nowMs - (startedMs ?? nowMs);
-        return bounds.depthOf(limit, options.tolerance, Math.min(1, runMs / options.tolerance.windowMs));
-    }
-
-    /**
-     * Tokens that this host may take its share of. The tolerance covers only what hosts that hear of each other within a
-     * second don't know of each other.
-     */
-    function usableTokens(bucket: Bucket, limit: bounds.Limit, nowMs: number): number {
-        const remaining = bucket.tokens - bucket.unreported;
-        if (options.hearsAllLately(nowMs)) {
-            return remaining;
-        }
-        const plain = bounds.depthOf(limit, bounds.noTolerance, 1) * reachableFraction;
-        return awaitsAnswer(bucket, nowMs)
-            ? Math.min(remaining, plain)
-            : remaining - Math.max(0, depthOf(limit, nowMs) * reachableFraction - plain);
-    }
-
-    /** True if no relay can have answered yet, as callers have only begun to ask this host. */
-    function awaitsAnswer(bucket: Bucket, nowMs: number): boolean {
-        return nowMs - bucket.lastRequestMs > activeMs || nowMs - bucket.activeSinceMs < firstAnswerMs;
-    }
-
-    /** Tokens that must remain for an operation from the reserve: hosts with demand may use theirs at the same moment. */
-    function minTokensForReserve(bucket: Bucket, limit: bounds.Limit, nowMs: number): number {
-        const most = bounds.depthOf(limit, bounds.noTolerance, 1) / 2;
-        return awaitsAnswer(bucket, nowMs) ? 1 : Math.max(1, Math.min(most, reserveTokensPerHost * bucket.activeHosts));
+        return bounds.depthOf(limit, tolerance(), Math.min(1, runMs / options.tolerance.windowMs));
     }
 
     function refill(bucket: Bucket, limit: bounds.Limit, nowMs: number): void {
@@ -181,12 +158,7 @@
         bucket.refilledMs = nowMs;
     }
 
-    /** Tokens remaining for all hosts together, were all of them reachable. */
-    function remainingOf(bucket: Bucket): number {
-        return Math.floor((bucket.tokens - bucket.unreported) / reachableFraction);
-    }
-
-    function stateOf(bucket: Bucket | undefined): bounds.LimiterState {
+    function stateOf(bucket: Bucket | undefined): LimiterState {
         const tenths = (value: number): number => Math.round(value * 10) / 10;
         return {
             left: tenths((bucket?.tokens ?? 0) - (bucket?.unreported ?? 0)),
@@ -203,7 +175,9 @@
         organisation: string,
         limit: bounds.Limit,
         reports: readonly bounds.UsageReport[],
+        nowMs: number,
     ): void {
+        const warmingUp = nowMs - (startedMs ?? nowMs) < warmUpMs;
         for (const report of reports) {
             const usage = report.usage[organisation];
             if (usage === undefined) {
@@ -213,6 +187,9 @@
                 // An organisation missing from a host's previous report had no admitted operations there.
                 bucket.tokens -= usage.admittedCount - (bucket.peerCounts.get(report.id) ?? 0);
             }
+            else if (warmingUp) {
+                bucket.tokens = Math.min(bucket.tokens, usage.remaining * reachableFraction);
+            }
             // What a host admitted while suspected came off the fraction withheld for it, and is not deducted again.
             bucket.peerCounts.set(report.id, usage.admittedCount);
         }
@@ -246,41 +223,24 @@
         // The demand as the others know it, given that this host's reports to them are on average as old as theirs to it:
         // shares that hosts compute from different demand could add up to more than 1.
         const ownDemand = bucket.demand.reportedPerSecond(nowMs - meanAgeMs) + idleDemandPerSecond;
-        const activeHostsOf = (report: bounds.UsageReport): number =>
-            report.usage[organisation]?.activeHosts
-                ?? (options.hearsAllLately(nowMs) && report.hostCount > 1 ? 0 : report.hostCount);
-        const activeHosts = reports.reduce((sum, report) => sum + activeHostsOf(report), 0);
-        bucket.activeHosts = 1 + activeHosts;
-        const totalDemand = reports.reduce((sum, report) => sum + demandOf(report), ownDemand)
-            + idleDemandPerSecond * (activeHosts + Math.min(maxIdleShares, reportingHosts - activeHosts));
+        const totalDemand = reports.reduce(
+            (sum, report) => sum + demandOf(report) + idleDemandPerSecond * report.hostCount,
+            ownDemand,
+        );
         bucket.admittedFraction = Math.min(1, limit.ratePerSecond * reachableFraction / totalDemand);
         bucket.unreported = reports.reduce(
             (sum, report) => sum + demandOf(report) * bucket.admittedFraction * report.ageMs / 1_000,
             0,
         );
         bucket.tokens = Math.min(bucket.tokens, capacity(bucket, limit, nowMs));
-        if (nowMs - (startedMs ?? nowMs) < warmUpMs) {
-            // A process that has admitted nothing knows no more than the others do; one that has keeps the lower number.
-            const known = reports.filter(({ id }) => bucket.admittedCount === 0 || !previousReports.has(id));
-            const remaining = Math.min(...known.flatMap(({ usage }) => usage[organisation]?.remaining ?? []));
-            if (Number.isFinite(remaining)) {
-                // What others remain with leaves out unreported operations as well.
-                const others = remaining * reachableFraction + bucket.unreported;
-                const level = bucket.admittedCount === 0 ? Math.max(bucket.tokens, others) : bucket.tokens;
-                bucket.tokens = Math.min(level, others, capacity(bucket, limit, nowMs));
-            }
-        }
         bucket.share = ownDemand / totalDemand;
         // The others don't know what this host admitted beyond their expectation, so it counts against this share alone.
-        const oldestAgeMs = reports.reduce(
-            (oldest, report) => (demandOf(report) > 0 ? Math.max(oldest, report.ageMs) : oldest),
-            0,
-        );
+        const oldestAgeMs = reports.reduce((oldest, report) => Math.max(oldest, report.ageMs), 0);
         const admitted = bucket.admittedCount - bucket.demand.admittedBefore(nowMs - oldestAgeMs);
-        const unexpected = !options.hearsAllLately(nowMs)
+        const unexpected = !options.hearsAllDirectly()
             ? 0
             : Math.max(0, admitted - ownDemand * bucket.admittedFraction * oldestAgeMs / 1_000);
-        const remaining = usableTokens(bucket, limit, nowMs);
+        const remaining = bucket.tokens - bucket.unreported;
         bucket.credit = (remaining + unexpected) * bucket.share - unexpected;
         const fullness = Math.min(1, Math.max(0, remaining) / Math.max(1, depthOf(limit, nowMs) * reachableFraction));
         bucket.reserve = Math.min(
@@ -324,7 +284,7 @@
                     buckets.delete(organisation);
                     continue;
                 }
-                deductPeerUsage(bucket, organisation, limit, reports);
+                deductPeerUsage(bucket, organisation, limit, reports, nowMs);
                 updateShare(bucket, organisation, limit, reports, nowMs);
             }
             previousReports = new Map(reports.map(report => [report.id, report]));
@@ -336,15 +296,10 @@
             }
             const bucket = bucketOf(organisation, limit, nowMs);
             bucket.demand.record(nowMs);
-            bucket.activeSinceMs = nowMs - bucket.lastRequestMs > activeMs ? nowMs : bucket.activeSinceMs;
-            bucket.lastRequestMs = nowMs;
-            lastRequestMs = nowMs;
             refill(bucket, limit, nowMs);
             const minCredit = 1 - Math.min(1, maxOverdraft / (hostCount ?? assumedHostCount));
             if (bucket.credit <= minCredit || (bucket.credit < 1 && bucket.tokens < 1)) {
-                if (
-                    bucket.reserve < 1 || usableTokens(bucket, limit, nowMs) < minTokensForReserve(bucket, limit, nowMs)
-                ) {
+                if (bucket.reserve < 1 || bucket.tokens - bucket.unreported < 1) {
                     const ownRatePerSecond = Math.max(limit.ratePerSecond * bucket.share, Number.EPSILON);
                     const missing = Math.max(0.1, minCredit - bucket.credit, 1 - Math.max(bucket.tokens, 0));
                     const retryAfterMs = Math.min(demands.timeConstantMs, missing * 1_000 / ownRatePerSecond);
@@ -357,26 +312,17 @@
             bucket.admittedCount += 1;
             return { admitted: true, retryAfterMs: 0, state: stateOf(bucket) };
         },
-        hasRecentDemand: nowMs => nowMs - lastRequestMs <= activeMs,
-        recentUsage(nowMs) {
-            const active = [...buckets].filter(([, bucket]) => nowMs - bucket.lastRequestMs <= activeMs);
-            return Object.fromEntries(active.map(([organisation, bucket]) => [organisation, {
-                demandPerSecond: bucket.demand.report(bucket.admittedCount, nowMs),
-                admittedCount: bucket.admittedCount,
-                remaining: remainingOf(bucket),
-                recentCount: bucket.admittedCount - bucket.demand.admittedBefore(nowMs - relays.recentMs),
-            }]));
-        },
         usage(nowMs) {
             const usages = [...buckets].flatMap(
                 ([organisation, bucket]): readonly (readonly [string, bounds.Usage])[] => {
                     const demandPerSecond = bucket.demand.report(bucket.admittedCount, nowMs);
+                    const remaining = Math.floor((bucket.tokens - bucket.unreported) / reachableFraction);
                     return demandPerSecond < minReportedDemandPerSecond && bucket.admittedCount === 0
                         ? []
                         : [[organisation, {
                             demandPerSecond,
                             admittedCount: bucket.admittedCount,
-                            remaining: remainingOf(bucket),
+                            remaining,
                         }]];
                 },
             );
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -32,7 +32,7 @@
 /** Fraction of the burst that is handed out; the rest covers operations that hosts admit at the same moment. */
 const usableBurstFraction = 0.85;
 /** Fraction of the tolerated excess that is handed out as well, by a host that has run for a whole window. */
-const usableExcessFraction = 0.7;
+const usableExcessFraction = 0.5;
 /** Fraction of the tolerated excess that is handed out at any time. */
 const minExcessFraction = 0.125;
 /** Tokens of the tolerated excess that may be handed out at any time. */
@@ -53,34 +53,12 @@
 export interface Options {
     /** By how much a window may exceed a limit, over all hosts together. */
     readonly tolerance: Tolerance;
-    /** True if the reports of all other hosts are at most about a second old at that time. */
-    hearsAllLately(nowMs: number): boolean;
+    /** True if the reports of all other hosts come from these directly, and so are at most about a second old. */
+    hearsAllDirectly(): boolean;
 }
 
 /** Options of a limiter on a platform that states no tolerance. */
-export const withoutTolerance: Options = { tolerance: noTolerance, hearsAllLately: () => true };
-
-/** Whether an operation is admitted, and the state that led to the decision. */
-export interface Decision {
-    readonly admitted: boolean;
-    /** Time after which a refused caller should retry, in milliseconds; 0 when admitted. */
-    readonly retryAfterMs: number;
-    readonly state: LimiterState;
-}
-
-/** State of one organisation's bucket at this host, for log lines. */
-export interface LimiterState {
-    /** Tokens remaining for all hosts together. */
-    readonly left: number;
-    /** Operations that this host may admit before the next exchange. */
-    readonly credit: number;
-    /** This host's share of the limit, from 0 to 1. */
-    readonly part: number;
-    /** Number of hosts that share the limit. */
-    readonly hosts: number;
-    /** Fraction of the limit that the reporting hosts may use; the rest is withheld for suspected hosts. */
-    readonly reach: number;
-}
+export const withoutTolerance: Options = { tolerance: noTolerance, hearsAllDirectly: () => true };
 
 /** What one host reports about one organisation. */
 export interface Usage {
@@ -90,8 +68,6 @@
     readonly admittedCount: number;
     /** Tokens remaining for all hosts together, as the reporting host estimates them. */
     readonly remaining: number;
-    /** Number of the report's hosts that callers have asked lately; all of them unless that is known. */
-    readonly activeHosts?: number;
 }
 
 /** Usage by name of the organisations that have recent demand or admitted operations at a host. */
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -4,7 +4,7 @@
 import * as grpc from "../adapters/grpc.js";
 import * as directories from "../core/directory.js";
 import * as leaderships from "../core/leadership.js";
-import type * as limiters from "../core/limiter.js";
+import * as limiters from "../core/limiter.js";
 import * as policies from "../core/policy.js";
 import * as storeEras from "../core/storeera.js";
 import * as lifecycles from "../daemon/lifecycle.js";
@@ -39,11 +39,9 @@
 import * as replacers from "./replacement.js";
 import * as restorers from "./restoration.js";
 import * as settingsFile from "./settings.js";
-import * as storeParts from "./storeparts.js";
 import * as storeSyncs from "./storesync.js";
 import * as timings from "./timings.js";
 import * as transactions from "./transactions.js";
-import * as usageExchanges from "./usageexchange.js";
 
 /** Assembles a host. Nothing runs until `start` is called. */
 export function createHost(environment: hosts.Environment): hosts.Host {
@@ -79,6 +77,12 @@
         leaderships.createLeadership({ maxProofAgeMs: timings.maxProofAgeMs, graceMs: timings.handoverGraceMs }),
     );
     container.bind(id.directory).toConstantValue(directories.createDirectory(timings));
+    container.bind(id.limiter).toConstantValue(
+        limiters.createLimiter({
+            tolerance: settingsFile.toleranceOf(settings),
+            hearsAllDirectly: () => peers().cellCount() === 1,
+        }),
+    );
     container.bind(id.peers).toDynamicValue(() =>
         gossip.createPeers({
             self: () => self,
@@ -93,16 +97,6 @@
             onDigest: (digest, sentMs) => clusterView().mergeDigest(digest, sentMs),
         })
     ).inSingletonScope();
-    container.bind(id.usageExchange).toDynamicValue(() =>
-        usageExchanges.createUsageExchange({
-            clock,
-            self: () => self,
-            peers,
-            tolerance: settingsFile.toleranceOf(settings),
-            relays: settings.relayUsage,
-            count: result => metrics().countUsageReport(result),
-        })
-    ).inSingletonScope();
     container.bind(id.storeSync).toDynamicValue(() =>
         storeSyncs.createStoreSync({
             self: () => self,
@@ -273,8 +267,7 @@
     const directory = (): directories.Directory => container.get(id.directory);
     const coldGate = (): coldGates.ColdGate => container.get(id.coldGate);
     const sharing = (): connectionSharing.ConnectionSharing => container.get(id.sharing);
-    const limiter = (): limiters.Limiter => usageExchange().limiter;
-    const usageExchange = (): usageExchanges.UsageExchange => container.get(id.usageExchange);
+    const limiter = (): limiters.Limiter => container.get(id.limiter);
     const peers = (): gossip.Peers => container.get(id.peers);
     const failoverLock = (): failoverLocks.HeldLock => container.get(id.failoverLock);
     const storeSync = (): storeSyncs.StoreSync => container.get(id.storeSync);
@@ -311,7 +304,6 @@
         directory: directory(),
         leadership: leadership(),
         limiter: limiter(),
-        usageExchange: usageExchange(),
         failoverLock: failoverLock(),
         evacuations: evacuations(),
         hostRoom,
@@ -343,9 +335,19 @@
         network: () => container.get<network.Network>(id.network),
         peers,
         news: () => reading().news,
-        usageExchange,
     }));
-    storeParts.createStoreParts({ storeSync, coordinator }).forEach(part => lifecycle.add(part));
+    lifecycle.add({
+        name: "store",
+        start: () => storeSync().start(),
+        drain: () => storeSync().deregister(),
+        close: () => storeSync().close(),
+    });
+    lifecycle.add({
+        name: "failover",
+        start: () => coordinator().start(),
+        drain: () => coordinator().release(),
+        close: () => coordinator().close(),
+    });
     lifecycle.add({
         name: "periodic tasks",
         start() {
--- a/src/proxy/messages.ts
+++ b/src/proxy/messages.ts
@@ -238,29 +238,6 @@
 /** What a host has learnt from the store. */
 export type NewsAnswer = z.infer<typeof newsAnswer>;
 
-const recentUsage = z.record(
-    z.string(),
-    numberList.describe("demand a second, admitted, remaining, admitted lately"),
-).describe("recent usage by organisation").readonly();
-
-/** A report of one process's recent usage to a relay. */
-export const usageReport = z.object({
-    host: z.string(),
-    process: z.string(),
-    usage: recentUsage,
-    transitMs: z.number(),
-    wantsAll: z.boolean(),
-}).readonly();
-/** A report of one process's recent usage to a relay. */
-export type UsageReport = z.infer<typeof usageReport>;
-
-/** The reports of other processes that a relay received lately. */
-export const relayedReports = z.array(
-    z.object({ host: z.string(), process: z.string(), usage: recentUsage, ageMs: z.number() }).readonly(),
-).readonly();
-/** The reports of other processes that a relay received lately. */
-export type RelayedReports = z.infer<typeof relayedReports>;
-
 const configurationPart = z.object({
     version: z.number(),
     /** Size of the whole compressed text. */
@@ -293,8 +270,6 @@
     },
     /** Returns what the host has learnt from the store, once there is something that the sender doesn't know. */
     news: method("news", newsQuestion, newsAnswer),
-    /** Reports recent usage of limits to a relay, and returns that of other hosts. */
-    usage: method("usage", usageReport, relayedReports),
     /** Issues permits for requests to a cold endpoint. */
     permit: method(
         "permit",
--- a/src/proxy/metrics.ts
+++ b/src/proxy/metrics.ts
@@ -54,8 +54,6 @@
     countStoreRestoration(): void;
     /** Counts a question to another host for what it has learnt from the store. */
     countNews(result: string): void;
-    /** Counts a report of usage to a relay. */
-    countUsageReport(result: string): void;
     /** All metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -137,12 +135,6 @@
         labelNames: ["activity"],
         registers,
     });
-    const usageReports = new prometheus.Counter({
-        name: "hyssophatch_usage_reports_total",
-        help: "Reports of the use of limits to relays, by result: answered or missed.",
-        labelNames: ["result"],
-        registers,
-    });
     const load = gauge("hyssophatch_endpoint_load", "Statements running and waiting.", ["endpoint"]);
     const open = gauge("hyssophatch_endpoint_connections", "Open connections.", ["endpoint"]);
     const spillover = gauge(
@@ -185,7 +177,6 @@
         relayed: result => relayed.inc({ result }),
         countPlatformCall: (kind, result) => calls.inc({ kind, result }),
         countStoreRestoration: () => restorations.inc(),
-        countUsageReport: result => usageReports.inc({ result }),
         countNews: result => news.inc({ result }),
         render() {
             const gauges = readGauges();
--- a/src/proxy/peerhandlers.ts
+++ b/src/proxy/peerhandlers.ts
@@ -12,7 +12,6 @@
 import * as relayMessages from "./relaymessages.js";
 import type * as storeNews from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
-import type * as usageExchanges from "./usageexchange.js";
 
 /** Components that the handlers use. */
 export interface Options {
@@ -23,7 +22,6 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNews.StoreNews;
     readonly sharing: connectionSharing.ConnectionSharing;
-    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 /** Creates the handlers of all calls between hosts: digests, records, news of the store, configuration, endpoints. */
@@ -45,7 +43,6 @@
             messages.peer.permit,
             async ({ endpoint, ...request }) => neverthrow.ok(options.coldGate.issue(endpoint, request)),
         ),
-        grpc.handle(messages.peer.usage, async report => neverthrow.ok(options.usageExchange.handleReport(report))),
         grpc.handle(messages.peer.catalogue, async () => {
             const { endpointListing } = storeSync;
             return neverthrow.ok({
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -66,8 +66,6 @@
     viewAgeMs(): number;
     /** Ages of the proofs of the other hosts, with one entry for each other cell. */
     peerProofs(): readonly leadership.PeerProof[];
-    /** Name of the cell of a host; empty if it is unknown, and in a fleet of one cell. */
-    cellOf(id: string): string;
     /** Number of cells that the hosts are divided into. */
     cellCount(): number;
     /** Rank of this host by id among the hosts of its cell. */
@@ -357,7 +355,6 @@
         },
         usageReports: () => fleet.usageReports(),
         endpointUsage: endpoint => fleet.endpointUsage(endpoint),
-        cellOf: fleet.cellOf,
         cellCount: () => fleet.cellCount(),
         cellRank: () => fleet.cellRank(),
         endpointOutcomes: endpoint => fleet.endpointOutcomes(endpoint),
--- a/src/proxy/peerservice.ts
+++ b/src/proxy/peerservice.ts
@@ -5,7 +5,6 @@
 import type * as gossip from "./peers.js";
 import type * as settingsFile from "./settings.js";
 import type * as storeNewsExchange from "./storenews.js";
-import type * as usageExchanges from "./usageexchange.js";
 
 /** Settings and collaborators of the part. */
 export interface Options {
@@ -14,7 +13,6 @@
     network(): network.Network;
     peers(): gossip.Peers;
     news(): storeNewsExchange.StoreNews;
-    usageExchange(): usageExchanges.UsageExchange;
 }
 
 /** Creates the part; nothing is sent or accepted until it is started. */
@@ -26,11 +24,9 @@
         async start() {
             server = await grpc.serve(host, port, options.handlers());
             options.peers().start();
-            options.usageExchange().start();
         },
         async close() {
             options.news().close();
-            options.usageExchange().close();
             options.peers().close();
             options.network().close();
             await server?.close();
--- a/src/proxy/periodictasks.ts
+++ b/src/proxy/periodictasks.ts
@@ -1,4 +1,5 @@
 /** What a host does at fixed intervals, apart from its gossip and its calls to the store. */
+import type * as limiters from "../core/limiter.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as activities from "./activity.js";
 import type * as clusterViews from "./clusterview.js";
@@ -11,7 +12,6 @@
 import type * as readinessStates from "./readinessstate.js";
 import type * as storeNewsExchange from "./storenews.js";
 import type * as storeSyncs from "./storesync.js";
-import type * as usageExchanges from "./usageexchange.js";
 
 /** Components that have periodic tasks. */
 export interface Components {
@@ -21,13 +21,13 @@
     readonly clusterView: clusterViews.ClusterView;
     readonly evacuations: evacuations.Evacuations;
     readonly hostRoom: hostRooms.HostRoom;
+    readonly limiter: limiters.Limiter;
     readonly meter: processorMeters.Meter;
     readonly peers: gossip.Peers;
     readonly readiness: readinessStates.Readiness;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly storeSync: storeSyncs.StoreSync;
     readonly sharing: connectionSharing.ConnectionSharing;
-    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 const checkIntervalMs = 100;
@@ -40,7 +40,7 @@
 
 /** Starts the tasks; the returned function ends them. */
 export function start(components: Components): () => void {
-    const { clock, clusterView, peers, events } = components;
+    const { clock, clusterView, peers, limiter, events } = components;
     const startMs = clock.now();
     let reportedMs: Readonly<Record<string, number>> = {};
 
@@ -76,7 +76,7 @@
         clock.every(hostRooms.checkIntervalMs, () => {
             components.hostRoom.check();
             if (peers.all().length > 0 || clock.now() - startMs > singleHostTimeoutMs) {
-                components.usageExchange.applyReports();
+                limiter.applyReports(peers.usageReports(), clock.now());
             }
         }),
         clock.every(peerRefreshIntervalMs, () => clusterView.refreshFromPeer()),
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -68,8 +68,6 @@
     evacuateMs: z.number().min(0).optional(),
     /** Whether a host that lacks room leaves rotation for a while, and hands its duties to hosts that have room. */
     yieldWithoutRoom: z.boolean().default(false),
-    /** Whether hosts of a fleet of several cells report their use of limits to two relays, beside their digests. */
-    relayUsage: z.boolean().default(false),
     /**
      * Whether and from how many hosts on some of them hold the connections for all, where there are fewer connections than
      * one an organisation and host.
--- a/standins/limiterload.ts
+++ b/standins/limiterload.ts
@@ -5,11 +5,6 @@
 import * as uniform from "pure-rand/distribution/uniformFloat64";
 import * as generators from "pure-rand/generator/xoroshiro128plus";
 import * as limiters from "../src/core/limiter.js";
-import * as relayedUsages from "../src/core/relayedusage.js";
-import * as relaySchedules from "../src/core/relayschedule.js";
-import * as usageRelays from "../src/core/usagerelay.js";
-import * as accountings from "./limiteraccount.js";
-import * as relayLoads from "./relayload.js";
 
 /** One organisation's load. */
 export interface Organisation extends limiters.Limit {
@@ -36,26 +31,6 @@
     joinsMs?(host: number): number;
     /** Time from which operations arrive; before it, the hosts only discover each other. */
     readonly quietMs?: number;
-    /** Links to relays and their hosts; the usual ones unless stated. */
-    readonly relays?: Partial<relayLoads.RelayLoad>;
-}
-
-/** Time after which a report counts as unanswered, in milliseconds. */
-const relayTimeoutMs = 600;
-const relayTickMs = 100;
-const introductionMs = 4_000;
-
-/** One host. */
-interface Host {
-    readonly limiter: limiters.Limiter;
-    readonly relay: usageRelays.Relay;
-    readonly schedule: relaySchedules.Schedule;
-    readonly relayed: relayedUsages.RelayedUsage;
-    /** When it will have served the reports that it has received. */
-    busyUntilMs: number;
-    lastTransitMs: number;
-    /** When its limiter last took in reports. */
-    appliedMs: number;
 }
 
 /** What became of one organisation's operations. */
@@ -73,8 +48,22 @@
 const stepMs = 5;
 const tickMs = 250;
 const exchangeMs = 1_000;
-/** Time after the start of a process within which the hosts of its cell have polled it. */
-const firstPollMs = 250;
+
+/** A bucket with the plain rate and burst, debited by what the hosts admit or refuse wrongfully. */
+function createAccount({ ratePerSecond, burst }: limiters.Limit) {
+    let [level, updatedMs] = [burst, 0];
+    function balance(nowMs: number): number {
+        level = Math.min(burst, level + ratePerSecond * (nowMs - updatedMs) / 1_000);
+        updatedMs = nowMs;
+        return level;
+    }
+    return {
+        balance,
+        debit(nowMs: number): void {
+            level = balance(nowMs) - 1;
+        },
+    };
+}
 
 interface Snapshot {
     readonly atMs: number;
@@ -93,160 +82,17 @@
     const phases = new Map<string, number>();
     const histories: Snapshot[][] = Array.from({ length: hostCount }, () => []);
     const incarnations = Array.from({ length: hostCount }, () => 0);
-    const relayLoad = { ...relayLoads.usual, ...scenario.relays };
-    const hosts = Array.from({ length: hostCount }, () => start(0));
-    /** Messages on their way, in no order. */
-    let messages: { readonly atMs: number; readonly arrive: () => void }[] = [];
+    const hosts = Array.from({ length: hostCount }, start);
     const admitted = new Map(organisations.map(entry => [entry.name, [] as number[]]));
-    const accounts = new Map(organisations.map(entry => [entry.name, accountings.createAccount(entry)]));
+    const accounts = new Map(organisations.map(entry => [entry.name, createAccount(entry)]));
     const refusals = new Map(organisations.map(entry => [entry.name, { all: 0, wrongful: 0 }]));
     const cellOf = (host: number): number => Math.floor(host / hostsPerCell);
-    const cellName = (cell: number): string => `cell ${cell}`;
     const cells = Array.from({ length: Math.ceil(hostCount / hostsPerCell) }, (_, cell) => cell);
 
-    function start(nowMs: number): Host {
-        const relayed = relayedUsages.createRelayedUsage();
-        const limiter = limiters.createLimiter({
-            tolerance,
-            hearsAllLately: atMs => hostCount <= hostsPerCell || relayed.isFresh(atMs),
-        });
+    function start(): limiters.Limiter {
+        const limiter = limiters.createLimiter({ tolerance, hearsAllDirectly: () => hostCount <= hostsPerCell });
         limiter.setLimits(limits);
-        return {
-            limiter,
-            relayed,
-            relay: usageRelays.createRelay(),
-            schedule: relaySchedules.createSchedule(introductionMs, nowMs),
-            busyUntilMs: nowMs,
-            lastTransitMs: 0,
-            appliedMs: -Infinity,
-        };
-    }
-
-    const processOf = (host: number): string => `${host} ${incarnations[host] ?? 0}`;
-
-    function applyReports(host: number, nowMs: number): void {
-        const receiver = hosts[host];
-        if (receiver === undefined) {
-            return;
-        }
-        receiver.appliedMs = nowMs;
-        const gossip = reportsFor(host, nowMs);
-        const cellOfId = (id: string): string => cellName(cellOf(Number(id)));
-        receiver.limiter.applyReports(
-            hostCount <= hostsPerCell
-                ? gossip
-                : receiver.relayed.combine(gossip, cellOfId, cellName(cellOf(host)), nowMs),
-            nowMs,
-        );
-    }
-
-    /** Sends a message unless it gets lost or the link is cut when it arrives. */
-    function send(from: number, to: number, nowMs: number, arrive: (nowMs: number) => void): void {
-        const atMs = nowMs + Math.ceil(random() * relayLoad.maxDelayMs);
-        if (random() >= relayLoad.loss) {
-            messages.push({
-                atMs,
-                arrive() {
-                    if (!isDown(to, atMs) && !cut(from, to, atMs)) {
-                        arrive(atMs);
-                    }
-                },
-            });
-        }
-    }
-
-    /** Reports a host's usage to a relay if that is due. */
-    function report(host: number, nowMs: number): void {
-        const sender = hosts[host];
-        if (sender === undefined || hostCount <= hostsPerCell) {
-            return;
-        }
-        const { schedule, limiter, relayed } = sender;
-        // The hosts with the lowest numbers are the strongest ones; hosts that are known to be down are left out.
-        const ranked = Array.from({ length: hostCount }, (_, index) => index).filter(index =>
-            index === host || joinsMs(index) <= nowMs - exchangeMs
-        );
-        const relay = Number(
-            schedule.next(ranked.map(String), relayLoad.intervalMs, limiter.hasRecentDemand(nowMs), nowMs) ?? -1,
-        );
-        if (relay < 0) {
-            return;
-        }
-        let answered = false;
-        const content = {
-            host: String(host),
-            process: processOf(host),
-            usage: limiter.recentUsage(nowMs),
-            transitMs: sender.lastTransitMs,
-            wantsAll: schedule.introduces(nowMs),
-        };
-        if (relay === host) {
-            schedule.answered(String(relay));
-            relayed.merge(sender.relay.exchange({ ...content, transitMs: 0 }, nowMs), nowMs, nowMs);
-            applyReports(host, nowMs);
-            return;
-        }
-        send(host, relay, nowMs, arrivedMs => {
-            const receiver = hosts[relay];
-            if (receiver === undefined) {
-                return;
-            }
-            receiver.busyUntilMs = Math.max(receiver.busyUntilMs, arrivedMs) + relayLoad.serviceMs;
-            const servedMs = Math.ceil(receiver.busyUntilMs);
-            messages.push({
-                atMs: servedMs,
-                arrive() {
-                    if (hosts[relay] !== receiver || isDown(relay, servedMs)) {
-                        return;
-                    }
-                    const answer = receiver.relay.exchange(content, servedMs);
-                    send(relay, host, servedMs, backMs => {
-                        if (hosts[host] === sender && backMs - nowMs <= relayTimeoutMs) {
-                            answered = true;
-                            sender.lastTransitMs = backMs - nowMs;
-                            schedule.answered(String(relay));
-                            relayed.merge(answer, nowMs, backMs);
-                            applyReports(host, backMs);
-                        }
-                    });
-                },
-            });
-        });
-        messages.push({
-            atMs: nowMs + relayTimeoutMs,
-            arrive() {
-                if (!answered) {
-                    schedule.failed(String(relay), nowMs + relayTimeoutMs);
-                }
-            },
-        });
-    }
-
-    function deliver(nowMs: number): void {
-        for (;;) {
-            const due = messages.filter(entry => entry.atMs <= nowMs).sort((left, right) => left.atMs - right.atMs);
-            if (due.length === 0) {
-                return;
-            }
-            messages = messages.filter(entry => entry.atMs > nowMs);
-            due.forEach(entry => entry.arrive());
-        }
-    }
-
-    /** Time at which a host last started; 0 for those that run from the beginning. */
-    const startedMs = (host: number, nowMs: number): number =>
-        (scenario.restarts ?? []).reduce(
-            (latest, { host: restarted, atMs, downMs }) =>
-                restarted === host && atMs + downMs <= nowMs ? Math.max(latest, atMs + downMs) : latest,
-            joinsMs(host),
-        );
-
-    /** Time of the last exchange of two hosts of a cell: a host that starts is polled by the others soon. */
-    function lastExchangeOf(host: number, member: number, nowMs: number): number {
-        const regularMs = lastExchange(`${Math.min(host, member)} ${Math.max(host, member)}`, nowMs);
-        const startMs = Math.max(startedMs(host, nowMs), startedMs(member, nowMs));
-        const firstMs = Math.ceil((startMs + firstPollMs) / tickMs) * tickMs;
-        return firstMs <= nowMs ? Math.max(regularMs, firstMs) : regularMs;
+        return limiter;
     }
 
     /** Time of the last exchange of a pair, in the grid of ticks. */
@@ -270,7 +116,7 @@
             suspectedHosts += unheard.length;
             if (cell === cellOf(host)) {
                 for (const member of heard) {
-                    const atMs = lastExchangeOf(host, member, nowMs);
+                    const atMs = lastExchange(`${Math.min(host, member)} ${Math.max(host, member)}`, nowMs);
                     const snapshot = snapshotAt(member, atMs);
                     if (snapshot !== undefined) {
                         const id = `${member} ${snapshot.incarnation}`;
@@ -285,7 +131,7 @@
             const usage = combine(heard.map(member => snapshotAt(member, observed)), cell);
             // A cell of which nothing was heard counts as suspected.
             if (heard.some(member => snapshotAt(member, observed) !== undefined)) {
-                reports.push({ id: cellName(cell), usage, hostCount: heard.length, ageMs: nowMs - observed });
+                reports.push({ id: `cell ${cell}`, usage, hostCount: heard.length, ageMs: nowMs - observed });
             }
             else {
                 suspectedHosts += heard.length;
@@ -313,11 +159,11 @@
     }
 
     function restart(host: number, nowMs: number): void {
-        for (const [name, usage] of Object.entries(hosts[host]?.limiter.usage(nowMs) ?? {})) {
+        for (const [name, usage] of Object.entries(hosts[host]?.usage(nowMs) ?? {})) {
             const key = `${cellOf(host)} ${name}`;
             lost.set(key, (lost.get(key) ?? 0) + usage.admittedCount);
         }
-        hosts[host] = start(nowMs);
+        hosts[host] = start();
         incarnations[host] = (incarnations[host] ?? 0) + 1;
         histories[host] = [];
     }
@@ -336,7 +182,7 @@
         if (host === undefined || counts === undefined || account === undefined) {
             return;
         }
-        if (hosts[host]?.limiter.admit(organisation.name, nowMs).admitted === true) {
+        if (hosts[host]?.admit(organisation.name, nowMs).admitted === true) {
             account.debit(nowMs);
             admitted.get(organisation.name)?.push(nowMs);
             return;
@@ -349,29 +195,21 @@
     }
 
     for (let nowMs = 0; nowMs < scenario.lengthMs; nowMs += stepMs) {
-        deliver(nowMs);
         for (const entry of scenario.restarts ?? []) {
             if (entry.atMs + entry.downMs === nowMs) {
                 restart(entry.host, nowMs);
             }
         }
         if (nowMs % tickMs === 0) {
-            hosts.forEach(({ limiter }, host) => {
+            hosts.forEach((limiter, host) => {
                 if (!isDown(host, nowMs)) {
                     const usage = limiter.usage(nowMs);
                     histories[host]?.push({ atMs: nowMs, incarnation: incarnations[host] ?? 0, usage });
                 }
             });
-            hosts.forEach(({ appliedMs }, host) => {
-                if (!isDown(host, nowMs) && nowMs > 0 && nowMs - appliedMs >= tickMs) {
-                    applyReports(host, nowMs);
-                }
-            });
-        }
-        if (nowMs % relayTickMs === 0) {
-            hosts.forEach((_, host) => {
-                if (!isDown(host, nowMs)) {
-                    report(host, nowMs);
+            hosts.forEach((limiter, host) => {
+                if (!isDown(host, nowMs) && nowMs > 0) {
+                    limiter.applyReports(reportsFor(host, nowMs), nowMs);
                 }
             });
         }
@@ -391,8 +229,21 @@
             admittedMs: times,
             refused: counts.all,
             wrongful: counts.wrongful,
-            worstWindow: accountings.worstWindow(times, tolerance.windowMs),
+            worstWindow: worstWindow(times, tolerance.windowMs),
             bound: limiters.windowBound(organisation, tolerance),
         }];
     }));
 }
+
+/** Largest number of times in any window of the length. */
+export function worstWindow(timesMs: readonly number[], windowMs: number): number {
+    let first = 0;
+    let worst = 0;
+    timesMs.forEach((atMs, index) => {
+        while ((timesMs[first] ?? atMs) <= atMs - windowMs) {
+            first += 1;
+        }
+        worst = Math.max(worst, index - first + 1);
+    });
+    return worst;
+}
--- a/standins/simulatedendpoints.ts
+++ b/standins/simulatedendpoints.ts
@@ -130,11 +130,3 @@
 
     return { all: endpoints, promotions, send, promote, list };
 }
-
-/** Makes replaced primaries replicas, once they reach their successor. */
-export function demoteReplaced(endpoints: readonly Endpoint[]): void {
-    const newestTerm = Math.max(...endpoints.filter(entry => entry.primary && entry.alive).map(entry => entry.term));
-    endpoints.filter(entry => entry.alive && entry.cutFrom.size === 0 && entry.term < newestTerm).forEach(entry => {
-        entry.primary = false;
-    });
-}
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -22,13 +22,10 @@
 import * as restorers from "../src/proxy/restoration.js";
 import type * as storeNewsExchange from "../src/proxy/storenews.js";
 import * as storeSyncs from "../src/proxy/storesync.js";
-import * as usageExchanges from "../src/proxy/usageexchange.js";
 import * as simulatedEndpoints from "./simulatedendpoints.js";
 import * as simulatedNetworks from "./simulatednetwork.js";
 import * as simulation from "./simulation.js";
 
-export { createNumbers } from "./numbers.js";
-
 /** Age at which a proof expires, in milliseconds. */
 export const maxProofAgeMs = 1_500;
 const graceMs = 150;
@@ -39,7 +36,6 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly peers: gossip.Peers;
-    readonly limiter: limiters.Limiter;
     readonly evacuations: evacuationViews.Evacuations;
     readonly era: storeEra.StoreEra;
     /** Fencing token of the failover lock; undefined unless the host believes that it holds the lock. */
@@ -76,12 +72,20 @@
     readonly storeSync: storeSyncs.StoreSync;
     readonly storeNews: storeNewsExchange.StoreNews;
     readonly source: configurationTransfer.Source;
-    readonly usageExchange: usageExchanges.UsageExchange;
 }
 
 const usualRoom: rooms.Report = { spare: 0.7, strained: false, inRotation: true, claim: undefined };
 const silent = { kind: "unreachable" as const };
 
+/** A sequence of numbers in [0, 1) that is the same each time. */
+export function createNumbers(): () => number {
+    let seed = 0;
+    return () => {
+        seed = (seed * 7 + 3) % 101;
+        return seed / 101;
+    };
+}
+
 /** Creates a fleet; nothing runs until its clock moves. */
 export function createFleet(
     hostCount: number,
@@ -123,8 +127,6 @@
                 const { endpointListing } = remote.storeSync;
                 return { endpoints: endpointListing.endpoints(), ageMs: endpointListing.summary(clock.now())?.ageMs };
             }
-            case messages.peer.usage.name:
-                return remote.usageExchange.handleReport(request as messages.UsageReport);
             case messages.peer.news.name:
                 return remote.storeNews.answer(request as messages.NewsQuestion);
             default:
@@ -174,15 +176,7 @@
         );
         const leadership = leaderships.createLeadership({ maxProofAgeMs, graceMs });
         const directory = directories.createDirectory({ missingGraceMs: 2_500, outageGapMs: 2_500 });
-        const usageExchange = usageExchanges.createUsageExchange({
-            clock: hostClock,
-            self: () => self,
-            peers: () => peers,
-            tolerance: limiters.noTolerance,
-            relays: true,
-            count: () => undefined,
-        });
-        const { limiter } = usageExchange;
+        const limiter = limiters.createLimiter();
         const peers = gossip.createPeers({
             self: () => self,
             seeds: [],
@@ -335,23 +329,20 @@
             onChange: () => undefined,
         });
         const source = configurationTransfer.createSource(storeSync.configuration);
-        running[host] = { peers, clusterView, storeSync, storeNews, source, usageExchange };
+        running[host] = { peers, clusterView, storeSync, storeNews, source };
         peers.start();
-        usageExchange.start();
         storeSync.start();
         coordinator.start();
         const stopEvaluation = hostClock.every(100, () => {
             clusterView.evaluateProof();
             storeNews.check();
             evacuations.check();
-            usageExchange.applyReports();
         });
         return {
             leadership,
             storeSync,
             storeNews,
             peers,
-            limiter,
             evacuations,
             era,
             fencingToken: () => lock.fencingToken(),
@@ -360,7 +351,6 @@
                 stopEvaluation();
                 coordinator.close();
                 storeNews.close();
-                usageExchange.close();
                 storeSync.close();
                 peers.close();
             },
@@ -391,7 +381,13 @@
         fleet.start(host);
     }
     clock.every(1_000, () => {
-        simulatedEndpoints.demoteReplaced(endpoints);
+        // A replaced primary becomes a replica once it reaches its successor.
+        const newestTerm = Math.max(
+            ...endpoints.filter(entry => entry.primary && entry.alive).map(entry => entry.term),
+        );
+        endpoints.filter(entry => entry.alive && entry.cutFrom.size === 0 && entry.term < newestTerm).forEach(entry => {
+            entry.primary = false;
+        });
         list();
     });
     return fleet;
