Measure the room of a host only where it may yield

Without the setting nothing is measured, told or shown; hosts count as those of versions that don't tell their room.

Pages say so.

--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -66,7 +66,7 @@
      * milliseconds; absent on a platform without evacuations.
      */
     evacuateMs: z.number().min(0).optional(),
-    /** Whether a host that lacks room leaves rotation for a while, and hands its duties to hosts that have room. */
+    /** Whether a host measures its room, leaves rotation while it lacks room, and hands its duties to hosts that have some. */
     yieldWithoutRoom: z.boolean().default(false),
     /**
      * Whether and from how many hosts on some of them hold the connections for all, where there are fewer connections than
