Fail a request for a connection at its deadline in the pool, not in the service that relays

The service that runs statements for other hosts had a time limit of its own around the pool, so that its answer came in time; this host's own callers waited on.

A request that is not served at once has a timer to its deadline in the pool. A connection that is opened later goes back to the pool. The time limit in proxy/relayservice is gone.

Conclusion: mended.

--- a/src/proxy/pool.test.ts
+++ b/src/proxy/pool.test.ts
@@ -81,6 +81,47 @@
         chai.expect(stage.pool.load()).to.equal(0);
     });
 
+    it("fails a waiting statement at its deadline, not at a later sweep or after a pause before the next attempt", async () => {
+        const stage = createStage();
+        const first = await stage.held();
+        let failedMs: number | undefined;
+        const deadlineMs = stage.clock.now() + 60;
+        void stage.acquire({ deadlineMs }).then(() => failedMs = stage.clock.now());
+        await stage.clock.advance(61);
+        chai.expect(failedMs).to.equal(deadlineMs);
+        first.release();
+        chai.expect(stage.pool.load()).to.equal(0);
+
+        const full = createStage({ dialer: { dial: async () => neverthrow.err("tooMany" as const) } });
+        let givenUpMs: number | undefined;
+        void full.acquire({ deadlineMs: full.clock.now() + 40 }).then(() => givenUpMs = full.clock.now());
+        await full.clock.advance(41);
+        chai.expect(givenUpMs).to.equal(40);
+    });
+
+    it("keeps a connection that is opened after its statement was given up", async () => {
+        const clock = simulation.createClock();
+        const stage = createStage({
+            clock,
+            dialer: {
+                async dial() {
+                    await clock.sleep(100);
+                    return neverthrow.ok({
+                        isOpen: () => true,
+                        control: async () => neverthrow.err({ sent: false, timedOut: false, message: "not used" }),
+                        close: () => undefined,
+                        run: async () => neverthrow.err({ sent: false, timedOut: false, message: "not used" }),
+                    });
+                },
+            },
+        });
+        const late = stage.acquire({ deadlineMs: clock.now() + 50 });
+        await clock.advance(51);
+        chai.expect((await late).isErr()).to.equal(true);
+        await clock.advance(60);
+        chai.expect([stage.pool.load(), stage.pool.size()]).to.deep.equal([0, 1]);
+    });
+
     it("refuses at once what can't be served, with times to come back that differ", async () => {
         const stage = createStage();
         const first = await stage.held();
--- a/src/proxy/pool.ts
+++ b/src/proxy/pool.ts
@@ -68,7 +68,7 @@
 
 /** Connection pool for one endpoint. */
 export interface Pool {
-    /** Waits for a connection. Fails with `overloaded` or `endpointUnreachable`. */
+    /** Waits for a connection, no longer than until the deadline. Fails with `overloaded` or `endpointUnreachable`. */
     acquire(request: AcquireRequest): Promise<neverthrow.Result<PooledConnection, failure.Failure>>;
     /** True when the organisation has an idle connection that is still open. */
     hasIdle(organisation: string): boolean;
@@ -94,6 +94,7 @@
 
 interface Waiter {
     readonly request: AcquireRequest;
+    /** Ends the wait; a connection that comes after its end goes back to the pool. */
     readonly resolve: (result: neverthrow.Result<PooledConnection, failure.Failure>) => void;
 }
 
@@ -161,6 +162,41 @@
         };
     }
 
+    /** Creates a waiter; the returned function lets it fail at its deadline, whatever keeps the connection from it. */
+    function createWaiter(
+        request: AcquireRequest,
+        settle: Waiter["resolve"],
+    ): { readonly waiter: Waiter; limit(): void } {
+        let settled = false;
+        let stopTimer: (() => void) | undefined;
+        const waiter: Waiter = {
+            request,
+            resolve(result) {
+                if (settled) {
+                    result.map(pooled => pooled.release());
+                    return;
+                }
+                settled = true;
+                stopTimer?.();
+                settle(result);
+            },
+        };
+
+        function expire(): void {
+            queue.remove(ticket => ticket.value === waiter);
+            waiter.resolve(neverthrow.err(overloaded(spreadRetry(defaultRetryAfterMs))));
+        }
+
+        return {
+            waiter,
+            limit() {
+                if (!settled) {
+                    stopTimer = clock.after(Math.max(0, request.deadlineMs - clock.now()), expire);
+                }
+            },
+        };
+    }
+
     function dropAbandoned(): void {
         const left = queue.remove(ticket => ticket.value.request.isAbandoned?.() === true);
         left.forEach(options.onAbandoned);
@@ -316,7 +352,8 @@
                     return;
                 }
                 const { organisation, deadlineMs, targetMs, priority } = request;
-                const ticket = { organisation, deadlineMs, targetMs, priority, value: { request, resolve } };
+                const { waiter, limit } = createWaiter(request, resolve);
+                const ticket = { organisation, deadlineMs, targetMs, priority, value: waiter };
                 const admission = queue.offer(ticket, clock.now(), room());
                 if (!admission.admitted) {
                     refuse([ticket], admission.roomInMs);
@@ -324,6 +361,8 @@
                 }
                 refuse(admission.displaced, defaultRetryAfterMs);
                 dispatch();
+                // Most statements have a connection by now and need no timer.
+                limit();
             });
         },
         hasIdle: organisation => idle.some(entry => entry.organisation === organisation && entry.connection.isOpen()),
--- a/src/proxy/relayservice.ts
+++ b/src/proxy/relayservice.ts
@@ -41,9 +41,6 @@
     sweep(): void;
 }
 
-/** A connection; undefined without a pool, and `late` if none was free in time. */
-type Acquired = Awaited<ReturnType<pools.Pool["acquire"]>> | "late" | undefined;
-
 /** An open transaction. */
 interface Open {
     readonly endpoint: string;
@@ -144,27 +141,6 @@
         return result;
     }
 
-    /**
-     * Waits for a connection no longer than the request allows. A pool fails expired requests only at its next sweep; by then
-     * the asking host has given up, and would take the statement for one that may have been sent.
-     */
-    async function acquireInTime(pool: pools.Pool | undefined, request: pools.AcquireRequest): Promise<Acquired> {
-        if (pool === undefined) {
-            return undefined;
-        }
-        const acquiring = pool.acquire(request);
-        let cancel: () => void = () => undefined;
-        const late = new Promise<"late">(resolve => {
-            cancel = clock.after(Math.max(0, request.deadlineMs - clock.now()), () => resolve("late"));
-        });
-        const first = await Promise.race([acquiring, late]);
-        cancel();
-        if (first === "late") {
-            void acquiring.then(result => result.map(pooled => pooled.release()));
-        }
-        return first;
-    }
-
     async function run(request: messages.Statement, forSelf = false): Promise<messages.Reply> {
         const [endpoint, born, organisation, flat, id, command, needsPrimary, leftMs, targetMs, priority] = request;
         const startedMs = clock.now();
@@ -176,20 +152,16 @@
         }
         const group = options.group(listed.group);
         const variables = messages.decodeVariables(flat);
-        const acquired = await acquireInTime(group.pool(endpoint), {
+        const acquired = await group.pool(endpoint)?.acquire({
             organisation,
             variables,
             deadlineMs: deadlineMs - group.minStatementMs(endpoint),
             targetMs: startedMs + targetMs,
             priority,
         });
-        if (acquired === undefined || acquired === "late" || acquired.isErr()) {
-            const isOverloaded = acquired === "late" || acquired?.error.code === failure.Code.overloaded;
-            const message = acquired === undefined
-                ? "the endpoint may not be used"
-                : acquired === "late"
-                ? "no connection was free in time"
-                : acquired.error.message;
+        if (acquired === undefined || acquired.isErr()) {
+            const isOverloaded = acquired?.error.code === failure.Code.overloaded;
+            const message = acquired?.error.message ?? "the endpoint may not be used";
             return finish(startedMs, ["declined", message, isOverloaded ? "overloaded" : "other"]);
         }
         const pooled = options.limit(endpoint, acquired.value);
