Use what the project had: one ration, the homes' own rule for hosts, one set of minimal settings

Ejection and the leaving of failure domains each counted a credit of their own to let a part of the reads through: core/ration does it for both, as it was. The choice of connection holders judged homes by the rule for endpoints; the rule for hosts that receive a request's text, homes.allowsHost, was there and used by nothing. roomview called a function that Node.js has only from 20.12 on, though 20 is what the project needs. Two tests listed the same minimal settings. The scarcest part of a host's room, computed for nobody, is told in its log line.

--- a/src/core/connectionholders.ts
+++ b/src/core/connectionholders.ts
@@ -140,7 +140,7 @@
             const isHolder = ranked[0] === request.self;
             const relayTo: string[] = [];
             // The holders are in the endpoint's region. They receive the text of the statement, which homes also bind.
-            if (!homes.allows(request.homes, request.region)) {
+            if (!homes.allowsHost(request.homes, request.region, false)) {
                 return { relayTo, isHolder, passedOver };
             }
             for (const host of ranked) {
--- a/src/core/ejection.ts
+++ b/src/core/ejection.ts
@@ -5,6 +5,7 @@
  * more likely elsewhere, and somebody has to serve.
  */
 import * as evidence from "./evidence.js";
+import * as rations from "./ration.js";
 
 /** An endpoint and what is known of its statements, from all hosts. */
 export interface Observation {
@@ -51,8 +52,8 @@
 interface State {
     ejectedAtMs: number;
     periodMs: number;
-    /** Accumulated trust; a read may go to the endpoint whenever it reaches 1. */
-    credit: number;
+    /** The part of the reads that the trust lets through. */
+    readonly ration: rations.Ration;
 }
 
 /** Creates an ejector that trusts every endpoint. */
@@ -72,7 +73,7 @@
         const previous = states.get(endpoint);
         const relapsed = previous !== undefined && nowMs - previous.ejectedAtMs < previous.periodMs + forgivenessMs;
         const periodMs = relapsed ? Math.min(maxPeriodMs, previous.periodMs * 2) : firstPeriodMs;
-        states.set(endpoint, { ejectedAtMs: nowMs, periodMs, credit: 0 });
+        states.set(endpoint, { ejectedAtMs: nowMs, periodMs, ration: rations.createRation() });
         return { endpoint, ejected: true, failureRate, periodMs };
     }
 
@@ -110,12 +111,7 @@
             if (state === undefined || current >= 1) {
                 return true;
             }
-            state.credit += current;
-            if (state.credit < 1) {
-                return false;
-            }
-            state.credit -= 1;
-            return true;
+            return state.ration.grants(current);
         },
         forget: endpoint => void states.delete(endpoint),
     };
--- a/src/core/spillover.ts
+++ b/src/core/spillover.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Distance } from "./distance.js";
+import * as rations from "./ration.js";
 
 /** An endpoint that can serve the read. */
 export interface Option {
@@ -80,8 +81,8 @@
     share: number;
     /** Part that leaves lastingly. */
     integral: number;
-    /** Accumulated share; a read leaves whenever it reaches 1. */
-    credit: number;
+    /** The part of the reads that leaves. */
+    readonly ration: rations.Ration;
     updatedMs: number | undefined;
 }
 
@@ -100,7 +101,7 @@
     const levels = { domain: createLevel(), region: createLevel() };
 
     function createLevel(): Level {
-        return { share: 0, integral: 0, credit: 0, updatedMs: undefined };
+        return { share: 0, integral: 0, ration: rations.createRation(), updatedMs: undefined };
     }
 
     function updateShare(level: Level, stayMs: number, gainful: boolean, situation: Situation): void {
@@ -119,16 +120,6 @@
         level.share = Math.min(limit, excess * proportionalGain + level.integral);
     }
 
-    /** True for the part of the reads that leaves. */
-    function leaves(level: Level): boolean {
-        level.credit += level.share;
-        if (level.credit < 1) {
-            return false;
-        }
-        level.credit -= 1;
-        return true;
-    }
-
     return {
         choose(options, situation) {
             let reachable = options;
@@ -144,7 +135,7 @@
                 const gainful = near.expectedMs - away.expectedMs
                     > minGainMs[distance] + minGainPart * near.expectedMs;
                 updateShare(level, near.expectedMs, gainful, situation);
-                if (gainful && near.expectedMs > situation.budgetMs && leaves(level)) {
+                if (gainful && near.expectedMs > situation.budgetMs && level.ration.grants(level.share)) {
                     return { option: away, left: distance, share: level.share, stayMs: near.expectedMs };
                 }
                 reachable = within;
--- a/src/proxy/hostroom.ts
+++ b/src/proxy/hostroom.ts
@@ -67,12 +67,14 @@
         const current = { strained: meter.strained(), inRotation: rotation.inRotation() };
         if (current.strained !== reported.strained || current.inRotation !== reported.inRotation) {
             reported = current;
-            const load = Object.entries(meter.load() ?? {})
+            const known = meter.load();
+            const load = Object.entries(known ?? {})
                 .map(([name, part]: [string, number]) => [name, Number(part.toFixed(loggedDigits))] as const);
             options.events().emit("roomChanged", {
                 ...current,
                 reason: rotation.reason(),
                 load: Object.fromEntries(load),
+                scarcest: known === undefined ? undefined : rooms.scarcest(known),
                 callers: options.callers()?.count() ?? 0,
             });
         }
--- a/src/proxy/processormeter.test.ts
+++ b/src/proxy/processormeter.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as neverthrow from "neverthrow";
+import * as fixtures from "../../standins/minimalsettings.js";
 import * as processorTimes from "../core/processortime.js";
 import type * as network from "../ports/network.js";
 import type * as store from "../ports/store.js";
@@ -56,16 +57,7 @@
         const channels: network.Network = { openChannel: () => chai.assert.fail(), close: () => undefined };
         chai.expect(processorMeters.none.network(channels)).to.equal(channels);
         chai.expect(processorMeters.none.usedMs()).to.equal(undefined);
-        const parsed = settings.parse({
-            id: "host-1",
-            region: "north",
-            failureDomain: "a",
-            callers: "10.0.0.1:1",
-            readiness: "10.0.0.1:2",
-            peers: "10.0.0.1:3",
-            store: "10.0.0.9:1",
-            promotions: "10.0.0.9:2",
-        })._unsafeUnwrap();
+        const parsed = settings.parse(fixtures.minimal)._unsafeUnwrap();
         chai.expect(parsed.measureProcessor).to.equal(false);
         chai.expect(settings.parse({ ...parsed, measureProcessor: "yes" }).isErr()).to.equal(true);
     });
--- a/src/proxy/roomview.ts
+++ b/src/proxy/roomview.ts
@@ -55,7 +55,10 @@
 
     function hashOf(ids: readonly string[]): number {
         const hash = hashes.get(ids)
-            ?? Number.parseInt(crypto.hash("sha1", ids.join("\0"), "hex").slice(0, hashDigits), hexadecimal);
+            ?? Number.parseInt(
+                crypto.createHash("sha1").update(ids.join("\0")).digest("hex").slice(0, hashDigits),
+                hexadecimal,
+            );
         hashes.set(ids, hash);
         return hash;
     }
