State waiting rounds and the reasons of refusals once

Found in the last reading: the choice of endpoints and the room at an endpoint each computed how many rounds of slots go before a statement; relayed replies listed the reasons of refusals again, so that a new one would have been rejected as malformed. Now core/endpointroom and ports/connection have them for both. No decision changes; the tests of these modules pass as they were.

--- a/src/core/endpointroom.ts
+++ b/src/core/endpointroom.ts
@@ -31,6 +31,11 @@
 /** Assumed work time before the first observation. */
 const initialWorkMs = 10;
 
+/** Rounds of an endpoint's slots that go before one more statement, while that many are at the endpoint. */
+export function waitingRounds(load: number, slots: number): number {
+    return Math.max(0, load + 1 - slots) / slots;
+}
+
 /** Creates an estimate without observations. */
 export function createEndpointRoom(): EndpointRoom {
     let workMs = initialWorkMs;
@@ -42,7 +47,7 @@
             lastKnownLoad = othersLoad;
         }
         const others = Math.max(othersLoad, lastKnownLoad);
-        return Math.max(0, others + ownLoad + 1 - slots) / slots;
+        return waitingRounds(others + ownLoad, slots);
     }
 
     return {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,6 +4,7 @@
  */
 import type * as distances from "./distance.js";
 import type * as eligibility from "./eligibility.js";
+import * as endpointRooms from "./endpointroom.js";
 import * as positions from "./position.js";
 import * as spillovers from "./spillover.js";
 
@@ -114,7 +115,7 @@
 
 /** Estimates the time until the endpoint answers, in milliseconds. */
 export function estimateMs(candidate: Candidate, floor: MinimumPosition | undefined): number {
-    const waitingRounds = Math.max(0, candidate.load + 1 - candidate.concurrency) / candidate.concurrency;
+    const waitingRounds = endpointRooms.waitingRounds(candidate.load, candidate.concurrency);
     // The primary's capacity is needed for writes, so reads count what waits there twice.
     const countedRounds = candidate.primary ? 2 * waitingRounds : waitingRounds;
     return candidate.roundTripMs
--- a/src/ports/connection.ts
+++ b/src/ports/connection.ts
@@ -20,18 +20,22 @@
     /** Clears session variables and prepared statements. */
     | { readonly kind: "reset" };
 
+/** Reasons for which an endpoint rejects or fails a request. */
+export const refusals = [
+    "busy",
+    "lagging",
+    "readOnly",
+    "misrouted",
+    "tooMany",
+    "unknownStatement",
+    "failed",
+    "timeout",
+    "aborted",
+    "other",
+] as const;
+
 /** Why an endpoint rejected or failed a request. */
-export type Refusal =
-    | "busy"
-    | "lagging"
-    | "readOnly"
-    | "misrouted"
-    | "tooMany"
-    | "unknownStatement"
-    | "failed"
-    | "timeout"
-    | "aborted"
-    | "other";
+export type Refusal = (typeof refusals)[number];
 
 /** Refusals that guarantee that the request had no effect. */
 export const withoutEffect: ReadonlySet<Refusal> = new Set([
--- a/src/proxy/relaymessages.ts
+++ b/src/proxy/relaymessages.ts
@@ -5,7 +5,7 @@
 import * as neverthrow from "neverthrow";
 import * as z from "zod";
 import type * as positions from "../core/position.js";
-import type * as connections from "../ports/connection.js";
+import * as connections from "../ports/connection.js";
 import type * as messages from "../ports/messages.js";
 
 const position = z.tuple([z.number().int().min(0).describe("term"), z.number().int().min(0).describe("index")]);
@@ -65,18 +65,7 @@
 /** Transactions that the sender still uses, and those whose connections it wants closed. */
 export type Upkeep = z.infer<typeof upkeep>;
 
-const refusal = z.enum([
-    "busy",
-    "lagging",
-    "readOnly",
-    "misrouted",
-    "tooMany",
-    "unknownStatement",
-    "failed",
-    "timeout",
-    "aborted",
-    "other",
-]);
+const refusal = z.enum(connections.refusals);
 
 /** What became of a relayed command. */
 export const result = z.union([
