--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -64,21 +64,24 @@
 }
 
 /**
- * Starts everything and waits until all hosts are ready. `through(address)` may put a proxy before an instance; it resolves
- * to the address that the instance registers.
+ * Starts everything. `through(address)` may put a proxy before an instance; it resolves to the address that the instance
+ * registers. `instances(id)` may start other stand-ins of instances than the project's own.
  */
-export async function startWorld({ hosts = 3, lagMs = 60, workMs = 14, promoteMs = 300, connections = 16, through }) {
+export async function startWorld({ hosts = 3, lagMs = 60, workMs = 14, promoteMs = 300, connections = 16, slots = 4, syncReplicas = 0, through, instances, onPromote, onLead }) {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
     const running = [];
     const store = await startStore({
         promote(name, id) {
             const chosen = running.find(entry => entry.instance.id === id)?.instance;
-            if (chosen === undefined || chosen.primary()) {
-                return chosen !== undefined;
+            const runs = chosen !== undefined && chosen.dark?.() !== true;
+            onPromote?.(id, runs);
+            if (!runs || chosen.primary()) {
+                return runs;
             }
             setTimeout(() => {
                 const all = running.map(entry => entry.instance);
                 chosen.lead(Math.max(...all.map(entry => entry.term())) + 1, all.filter(entry => entry !== chosen));
+                onLead?.(chosen);
                 list();
             }, promoteMs);
             return true;
@@ -86,7 +89,9 @@
     });
     const zones = ["cluj-a", "buc-a", "cluj-b"];
     for (const [number, id] of ["i-9e16b79e8c", "i-5840f93bc3", "i-e2e9145aec"].entries()) {
-        const instance = await endpoints.start({ id, group: service, maxConnections: connections, workMs, lagMs });
+        const instance = instances === undefined
+            ? await endpoints.start({ id, group: service, maxConnections: connections, workMs, lagMs })
+            : await instances(id);
         const address = through === undefined ? instance.address : await through(instance.address);
         running.push({ instance, address, zone: zones[number], state: "ready" });
     }
@@ -95,13 +100,13 @@
     let sequence = 0;
     function list() {
         sequence += 1;
-        running.forEach(({ instance, address, zone, state }) =>
+        running.filter(({ instance }) => instance.dark?.() !== true).forEach(({ instance, address, zone, state }) =>
             store.put(`servers/${instance.id}`, {
                 service,
                 address,
                 zone,
                 version: "v1",
-                slots: 4,
+                slots,
                 state,
                 cold_remaining_ms: 0,
                 db_role: instance.primary() ? "primary" : "replica",
@@ -114,7 +119,11 @@
     const beat = setInterval(list, 1_200);
     store.put("op/config", {
         ...firstConfiguration,
-        services: firstConfiguration.services.map(entry => ({ ...entry, max_connections: connections })),
+        services: firstConfiguration.services.map(entry => ({
+            ...entry,
+            max_connections: connections,
+            sync_replicas: syncReplicas,
+        })),
     });
 
     const processes = [];
