--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -13,15 +13,23 @@
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 export const service = "kafi81c";
 
+/** Ports below the range that the system gives to outgoing connections, which would take a port between two uses. */
+const firstPort = 20_000;
+const portCount = 12_000;
+
 async function freePort() {
-    const server = net.createServer();
-    await new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", resolve);
-    });
-    const { port } = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return port;
+    for (;;) {
+        const port = firstPort + Math.floor(Math.random() * portCount);
+        const server = net.createServer();
+        const bound = await new Promise(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        if (bound) {
+            await new Promise(resolve => server.close(resolve));
+            return port;
+        }
+    }
 }
 
 export const route = (hostname, kind, timeoutMs) => ({
