--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases: the project's own ones, which review/lib/world.mjs loads from dist/.
 set -eu
 cd "$(dirname "$0")/.."
-npx tsc -p .
+node_modules/.bin/tsc -p .
