--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -11,6 +11,8 @@
 const pauseMs = 4_500;
 /** A sender repeats a packet that isn't acknowledged after 200 ms at the earliest (Linux). */
 const resendMs = 220;
+/** The zone whose links to the others lose packets. The hosts are there, and the instances in the others. */
+const lossyZone = "iasi-a";
 const sessions = 12;
 const readsPerValue = 4;
 
@@ -112,7 +114,7 @@
     session?.close();
 }
 
-const world = await startWorld({ through });
+const world = await startWorld({ through, hostZones: [lossyZone] });
 let status = 2;
 if (await world.waitUntilReady()) {
     const untilMs = performance.now() + runMs;
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -5,6 +5,8 @@
 const trouble = process.env.TROUBLE !== "0";
 const configApplyMs = 3_000;
 const pauseMs = 1_000;
+/** Time between the version that takes the key away and the one that adds it elsewhere. */
+const betweenMs = 400;
 const statements = 10;
 
 const record = createRecord(path.join(import.meta.dirname, "record.txt"));
@@ -29,13 +31,15 @@
     const [from, to] = firstConfiguration.tenants;
     let acknowledgedAtMs = Infinity;
     if (trouble) {
-        world.configure({
-            ...firstConfiguration,
-            version: firstConfiguration.version + 3,
-            tenants: [{ ...from, api_keys: [] }, { ...to, api_keys: [...to.api_keys, "key-of-nypu"] }],
-        });
+        const { version } = firstConfiguration;
+        const without = { ...from, api_keys: [] };
+        world.configure({ ...firstConfiguration, version: version + 3, tenants: [without, to] });
+        record.line(`configuration acknowledged: the key is taken away from ${from.name}`);
+        await sleep(betweenMs);
+        const holder = { ...to, api_keys: [...to.api_keys, "key-of-nypu"] };
+        world.configure({ ...firstConfiguration, version: version + 5, tenants: [without, holder] });
         acknowledgedAtMs = performance.now();
-        record.line(`configuration acknowledged: the key moves from ${from.name} to ${to.name}`);
+        record.line(`configuration acknowledged: the key is added to ${to.name}`);
     }
     for (let count = 0; count < statements; count += 1) {
         await sleep(pauseMs);
