Count only an answer as a poll of another host

Cause: while the store responds to no host, hosts go on trusting the records of primaries as long as every other host was polled lately and has no proof either. A refused connection counted as such a poll. A partition that resets connections refuses them too, so a host behind it renewed its trust with each refused poll while the others replaced the primary.

Ruled out: proofs passed on by others (the hosts reached none), late polls (trust ends one proof age after the oldest poll; the cut lasts ten seconds).

Related path: the holder of the failover lock took a refused poll for a sign that its own network works, and replaced a healthy primary.

outageAssumed and fields of proofLost and proofRegained say on what a host relies and how old its evidence is.

--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -32,7 +32,7 @@
 
 /** Whether another host holds a proof, as last polled. */
 export interface PeerProof {
-    /** Time since the last poll that the host answered, or to which it refused the connection, in milliseconds. */
+    /** Time since the last poll that the host answered, in milliseconds. */
     readonly pollAgeMs: number;
     /** Age of the host's proof, in milliseconds; undefined when it has none. */
     readonly proofAgeMs: number | undefined;
@@ -55,6 +55,8 @@
     assessOutage(others: readonly PeerProof[], nowMs: number): void;
     /** True while the records may be relied on: with a proof, or in an outage of the store for all hosts. */
     isTrusted(nowMs: number): boolean;
+    /** What the records are relied on for; undefined while they may not be. */
+    basis(nowMs: number): "proof" | "outage" | undefined;
     /** True while the endpoint is known to be primary of the group, so that new statements may be sent to it. */
     isPrimary(group: string, endpoint: string, nowMs: number): boolean;
     /** True while a statement that the endpoint has just run may be acknowledged to its caller. */
@@ -80,10 +82,15 @@
     let proofAtMs = -Infinity;
     let outageUntilMs = -Infinity;
 
-    const isTrusted = (nowMs: number): boolean => nowMs - proofAtMs <= options.maxProofAgeMs || nowMs <= outageUntilMs;
+    function basis(nowMs: number): ReturnType<Leadership["basis"]> {
+        return nowMs - proofAtMs <= options.maxProofAgeMs ? "proof" : nowMs <= outageUntilMs ? "outage" : undefined;
+    }
+
+    const isTrusted = (nowMs: number): boolean => basis(nowMs) !== undefined;
 
     return {
         isTrusted,
+        basis,
         apply(record, nowMs) {
             const known = entries.get(record.group);
             if (known !== undefined && record.epoch <= known.record.epoch) {
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -117,6 +117,9 @@
 /** Connections per endpoint reserved for the probe of the failover coordinator. */
 const reservedConnections = 1;
 
+/** An age as it is logged; JSON has no infinity. */
+const loggedAgeMs = (ageMs: number): number => Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER));
+
 /** Creates an empty view. */
 export function createClusterView(options: Options): ClusterView {
     const {
@@ -135,7 +138,7 @@
     const allocator = connectionShares.createAllocator();
     const weight = organisationWeights.createWeights(() => storeSync().policy());
     let lastClockJumpMs = -Infinity;
-    let wasTrusted = false;
+    let lastBasis: ReturnType<leaderships.Leadership["basis"]>;
     const endpointFetcher = endpointTransfer.createFetcher({
         clock,
         events,
@@ -276,15 +279,18 @@
     function evaluateProof(): void {
         const proofs = peers().peerProofs();
         leadership.assessOutage(proofs, clock.now());
-        const trusted = leadership.isTrusted(clock.now());
-        if (trusted !== wasTrusted) {
-            wasTrusted = trusted;
-            events.emit(trusted ? "proofRegained" : "proofLost", {
-                ageMs: Math.round(Math.min(leadership.proofAgeMs(clock.now()), Number.MAX_SAFE_INTEGER)),
+        const basis = leadership.basis(clock.now());
+        if (basis !== lastBasis) {
+            lastBasis = basis;
+            const event = basis === undefined ? "proofLost" : basis === "proof" ? "proofRegained" : "outageAssumed";
+            events.emit(event, {
+                ageMs: loggedAgeMs(leadership.proofAgeMs(clock.now())),
                 hosts: proofs.length,
+                oldestPollAgeMs: loggedAgeMs(Math.max(0, ...proofs.map(proof => proof.pollAgeMs))),
+                newestPeerProofAgeMs: loggedAgeMs(Math.min(...proofs.map(proof => proof.proofAgeMs ?? Infinity))),
             });
         }
-        if (trusted) {
+        if (basis !== undefined) {
             groups.forEach(entry => entry.notifyWaiters());
         }
     }
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -125,7 +125,7 @@
     /** True if another host has answered a poll that was sent since then, or if no other host is registered. */
     function isCorroborated(sinceMs: number): boolean {
         const others = options.peers.all().filter(peer => peer.registered && !peer.member.leaving);
-        return others.length === 0 || others.some(peer => Math.max(peer.lastPolledMs, peer.lastRefusedMs) >= sinceMs);
+        return others.length === 0 || others.some(peer => peer.lastPolledMs >= sinceMs);
     }
 
     function isFailing(group: groups.Group, record: leadership.Record): boolean {
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -58,6 +58,10 @@
     keyWithdrawn: { ...stateChange, message: "A session's API key is no longer valid." },
     tenureChanged: { ...stateChange, message: "The record of a group's primary changed." },
     proofLost: { ...problem, message: "The records of primaries can't be confirmed as current." },
+    outageAssumed: {
+        ...problem,
+        message: "The store responds to no host, so the known records of primaries stay in force.",
+    },
     proofRegained: { ...stateChange, message: "The records of primaries are confirmed as current again." },
     dutyTaken: { ...stateChange, message: "This host acquired the failover lock and replaces primaries." },
     dutyLost: { ...stateChange, message: "This host lost the failover lock and no longer replaces primaries." },
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -166,7 +166,6 @@
         },
         lastHeardMs: 900,
         lastPolledMs,
-        lastRefusedMs: -Infinity,
         registered: true,
     });
 
@@ -201,7 +200,6 @@
                 digest: undefined,
                 lastHeardMs: 0,
                 lastPolledMs: 0,
-                lastRefusedMs: -Infinity,
                 lastFailedMs: -Infinity,
                 registered: true,
                 lastMentionedMs: 0,
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -20,10 +20,11 @@
     readonly digest: messages.Digest | undefined;
     /** When a digest of it last arrived. */
     readonly lastHeardMs: number;
-    /** When this host sent the last poll that the other host answered. */
+    /**
+     * When this host sent the last poll that the other host answered. A refused connection is no answer: it may come from
+     * the network while the host runs.
+     */
     readonly lastPolledMs: number;
-    /** When its address last refused a connection, which shows that no host ran there. */
-    readonly lastRefusedMs: number;
     /** True while the store lists it. */
     readonly registered: boolean;
 }
@@ -34,7 +35,6 @@
     digest: messages.Digest | undefined;
     lastHeardMs: number;
     lastPolledMs: number;
-    lastRefusedMs: number;
     /** When a poll of it last failed. */
     lastFailedMs: number;
     /** True while the store lists it. */
@@ -249,7 +249,7 @@
         const members = cellPeers();
         const live = members.filter(peer => !isSuspected(peer));
         const usage = live.flatMap(peer => (peer.digest === undefined ? [] : [peer.digest.organisationUsage]));
-        const pollAges = members.map(peer => nowMs - Math.max(peer.lastPolledMs, peer.lastRefusedMs));
+        const pollAges = members.map(peer => nowMs - peer.lastPolledMs);
         const proofAges = members.flatMap(peer =>
             peer.digest?.proofAgeMs === undefined ? [] : [peer.digest.proofAgeMs + nowMs - peer.lastHeardMs]
         );
@@ -377,7 +377,7 @@
         peerProofs() {
             const nowMs = clock.now();
             const cellProofs = cellPeers().map(peer => ({
-                pollAgeMs: nowMs - Math.max(peer.lastPolledMs, peer.lastRefusedMs),
+                pollAgeMs: nowMs - peer.lastPolledMs,
                 proofAgeMs: peer.digest?.proofAgeMs,
             }));
             return [...cellProofs, ...otherCells().map(([name]) => remote.peerProof(name, nowMs))];
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -1,6 +1,5 @@
 /** Gossip between hosts: keeps the list of peers, exchanges digests with them, and holds the newest digest of each. */
 import type * as evidence from "../core/evidence.js";
-import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as limiters from "../core/limiter.js";
 import type * as rooms from "../core/room.js";
@@ -133,7 +132,6 @@
             digest: undefined,
             lastHeardMs: clock.now(),
             lastPolledMs: -Infinity,
-            lastRefusedMs: -Infinity,
             lastFailedMs: -Infinity,
             registered: false,
             lastMentionedMs: clock.now(),
@@ -258,10 +256,6 @@
             return;
         }
         peer.lastFailedMs = clock.now();
-        // This code means that the connection was refused, so no host ran at the address.
-        if (reply.error.code === failure.Code.ownerUnreachable) {
-            peer.lastRefusedMs = requestedAtMs;
-        }
         replaceSilentChannel(peer, usedChannel, requestedAtMs);
         if (isSuspected(peer) && !peer.unreachable) {
             peer.unreachable = true;
--- a/standins/simulatednetwork.ts
+++ b/standins/simulatednetwork.ts
@@ -23,6 +23,8 @@
     readonly frozen: Set<number>;
     /** Hosts that reach no other host. */
     readonly cutFromPeers: Set<number>;
+    /** Hosts that reach no other host, as the network refuses the connections in both directions. */
+    readonly refusedByNetwork: Set<number>;
     /** Hosts that can't reach the store. */
     readonly cutFromStore: Set<number>;
     /** Hosts that the store turns away at once. */
@@ -37,6 +39,7 @@
         down: new Set(),
         frozen: new Set(),
         cutFromPeers: new Set(),
+        refusedByNetwork: new Set(),
         cutFromStore: new Set(),
         refusedByStore: new Set(),
         regionsCut: false,
@@ -83,7 +86,8 @@
         if (isCut) {
             return "lost";
         }
-        return faults.down.has(to) ? "refused" : "delivered";
+        const isRefused = [from, to].some(host => faults.refusedByNetwork.has(host));
+        return isRefused || faults.down.has(to) ? "refused" : "delivered";
     }
 
     async function call<Request, Reply>(
