Take only an answer for the confirmation of a changed record

Cause: before a promotion every host confirms the changed record, or the replacement waits until the proofs of the old record have expired. A refused connection counted as a confirmation ("no host runs there"). A partition that resets connections refuses them too, and the host behind it still relied on the old record.

Ruled out: proofs renewed after the change (the hosts reached neither the store nor the others); graces beyond the proof (they end with it).

Test: proxy/refusals, failed before with cut off after 200 ms: [ "host-1 acknowledges i-1" ] to deeply equal []

primaryFenced names the hosts that did not confirm, with the reason.

--- a/src/proxy/recordnotice.ts
+++ b/src/proxy/recordnotice.ts
@@ -1,5 +1,4 @@
 /** Tells all hosts of a changed record of a primary, and collects their confirmations. */
-import * as failure from "../core/failure.js";
 import type * as leadership from "../core/leadership.js";
 import type * as runtime from "../ports/runtime.js";
 import type * as fleets from "./fleet.js";
@@ -15,10 +14,18 @@
 /** Sends records to the other hosts. */
 export interface RecordNotice {
     /**
-     * Sends a record to all peers, again to those that don't answer. Resolves to true as soon as every peer that is running
-     * has confirmed it, or to false at the deadline.
+     * Sends a record to all peers, again to those that don't answer. Resolves as soon as every peer has confirmed it, at the
+     * latest at the deadline, to the peers that have not. Only an answer confirms: a peer whose connections are refused may
+     * run behind a network partition, and still rely on the previous record.
      */
-    confirmAll(record: leadership.Record, deadlineMs: number): Promise<boolean>;
+    confirmAll(record: leadership.Record, deadlineMs: number): Promise<readonly Unconfirmed[]>;
+}
+
+/** A peer that has not confirmed a record. */
+export interface Unconfirmed {
+    readonly peer: string;
+    /** Why the last attempt failed; undefined without one. */
+    readonly reason: string | undefined;
 }
 
 /** Time limit for one attempt: a peer lets its statements at the old primary finish before it confirms. */
@@ -28,23 +35,28 @@
 
 /** Creates a notice. */
 export function createRecordNotice({ clock, peers }: Options): RecordNotice {
-    async function confirm(peer: fleets.Peer, record: leadership.Record, deadlineMs: number): Promise<boolean> {
+    async function confirm(
+        peer: fleets.Peer,
+        record: leadership.Record,
+        deadlineMs: number,
+    ): Promise<Unconfirmed | undefined> {
+        let reason: string | undefined;
         for (let leftMs = deadlineMs - clock.now(); leftMs > 0; leftMs = deadlineMs - clock.now()) {
             const timeoutMs = Math.min(attemptTimeoutMs, leftMs);
             const reply = await peers.call(peer.member, messages.peer.record, record, timeoutMs);
-            // A refused connection means that no host runs there; one that starts later reads the new record.
-            if (reply.isOk() || reply.error.code === failure.Code.ownerUnreachable) {
-                return true;
+            if (reply.isOk()) {
+                return undefined;
             }
+            reason = reply.error.message;
             await clock.sleep(retryPauseMs);
         }
-        return false;
+        return { peer: peer.member.id, reason };
     }
 
     return {
         async confirmAll(record, deadlineMs) {
-            const confirmed = await Promise.all(peers.all().map(peer => confirm(peer, record, deadlineMs)));
-            return confirmed.every(value => value);
+            const results = await Promise.all(peers.all().map(peer => confirm(peer, record, deadlineMs)));
+            return results.flatMap(result => result ?? []);
         },
     };
 }
--- a/src/proxy/refusals.test.ts
+++ b/src/proxy/refusals.test.ts
@@ -38,6 +38,30 @@
         chai.expect([...violations]).to.deep.equal([]);
     });
 
+    // Guards against a replacement that takes a refused connection for a confirmation: hosts that still relied on the old
+    // primary read stale data there and acknowledged writes that were lost.
+    it("are waited for by a replacement until they no longer rely on the old primary", async () => {
+        for (let cutAfterMs = 200; cutAfterMs <= 1_400; cutAfterMs += 50) {
+            const tested = simulatedFleets.createFleet(hosts.length, simulatedFleets.createNumbers());
+            await tested.clock.advance(5_000);
+            const lockHolder = tested.hosts.findIndex(host => host.fencingToken() !== undefined);
+            const cutOff = hosts.findIndex(host => host !== lockHolder);
+            tested.endpoints.filter(endpoint => endpoint.primary).forEach(endpoint => {
+                hosts.filter(host => host !== cutOff).forEach(host => endpoint.cutFrom.add(host));
+            });
+            await tested.clock.advance(cutAfterMs);
+            tested.refusedByNetwork.add(cutOff);
+            tested.cutFromStore.add(cutOff);
+            const violations = new Set<string>();
+            await tested.clock.advance(6_000, () => {
+                invariants.staleAcknowledgers(tested).forEach(text => violations.add(text));
+            });
+            tested.close();
+            chai.expect([...violations], `cut off after ${cutAfterMs} ms`).to.deep.equal([]);
+            chai.expect(tested.promotions, `cut off after ${cutAfterMs} ms`).to.have.length(1);
+        }
+    });
+
     // Guards against a holder of the failover lock that takes refused connections for a sign that its own network works.
     it("replace no primary that only they can't reach", async () => {
         await fleet.clock.advance(5_000);
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -64,6 +64,8 @@
  * confirmed the new record.
  */
 const minStoreUptimeMs = 3_000;
+/** Hosts that one log line names at most. */
+const maxLoggedHosts = 5;
 /** Time limit for a replica to receive the last commits of a primary that stepped down. */
 const catchUpTimeoutMs = 800;
 /** Time limit for a promoted replica to report itself as primary. */
@@ -120,18 +122,19 @@
     }
 
     /**
-     * Waits until no host relies on the previous record: every peer has confirmed the new one, or every proof of the
+     * Waits until no host relies on the previous record: every host has confirmed the new one, or every proof of the
      * previous one has expired. False when the new record is no longer in force or the lock is lost.
      */
     async function fence(record: leadership.Record, token: number): Promise<boolean> {
         const writtenAtMs = clock.now();
         const expiredAtMs = writtenAtMs + options.maxProofAgeMs;
         const snapshot = await options.storeSync.refresh();
-        const [allConfirmed] = await Promise.all([
+        const [unconfirmed] = await Promise.all([
             notice.confirmAll(record, expiredAtMs),
             options.applyAndFence(record),
         ]);
-        if (snapshot === undefined || !allConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs) {
+        const isConfirmed = snapshot !== undefined && unconfirmed.length === 0;
+        if (!isConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs) {
             await clock.sleep(Math.max(0, expiredAtMs - clock.now()));
         }
         const current = leadership.find(record.group);
@@ -140,7 +143,9 @@
             events.emit("primaryFenced", {
                 group: record.group,
                 epoch: record.epoch,
-                confirmed: allConfirmed,
+                confirmed: isConfirmed,
+                unconfirmedHosts: unconfirmed.length,
+                unconfirmed: unconfirmed.slice(0, maxLoggedHosts),
                 waitedMs: Math.round(clock.now() - writtenAtMs),
             });
         }
