Let proofs expire when a host that has just started replaces a primary

What callers saw: nothing was reported.

Cause: "every host has confirmed" was evaluated over the hosts that the process knows. One that starts while the store is away for the others, cut off from them, knows none, so its replacement didn't wait; the others still relied on an answer of the previous process at its address.

Why this works: such an answer supports trust for one proof age at most, and the process waits that long, counted from its start, before it skips the wait. A planned move waits until all hosts can confirm it, unless its bound is near: otherwise the evacuation test lost a transaction to the longer fence.

Test: proxy/refusals, failed before with [ 'host-1 acknowledges i-1', ... ] to deeply equal []

--- a/src/proxy/refusals.test.ts
+++ b/src/proxy/refusals.test.ts
@@ -62,6 +62,25 @@
         }
     });
 
+    // Guards against a host that has just started and takes the hosts that it knows for all that there are.
+    it("are waited for by a host that has just started and doesn't know them", async () => {
+        await fleet.clock.advance(5_000);
+        const restarted = holder();
+        hosts.forEach(host => fleet.cutFromStore.add(host));
+        await fleet.clock.advance(3_600);
+        fleet.kill(restarted);
+        fleet.refusedByNetwork.add(restarted);
+        fleet.cutFromStore.delete(restarted);
+        fleet.endpoints.filter(endpoint => endpoint.primary).forEach(endpoint => endpoint.cutFrom.add(restarted));
+        fleet.start(restarted);
+        const violations = new Set<string>();
+        await fleet.clock.advance(6_000, () => {
+            invariants.staleAcknowledgers(fleet).forEach(text => violations.add(text));
+        });
+        chai.expect(fleet.promotions).to.have.length(1);
+        chai.expect([...violations]).to.deep.equal([]);
+    });
+
     // Guards against a holder of the failover lock that takes refused connections for a sign that its own network works.
     it("replace no primary that only they can't reach", async () => {
         await fleet.clock.advance(5_000);
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -70,6 +70,8 @@
 const catchUpTimeoutMs = 800;
 /** Time limit for a promoted replica to report itself as primary. */
 const promotionTimeoutMs = 3_000;
+/** Age of the last poll of a host up to which it is expected to confirm a change; covers the exchanges between cells. */
+const maxPollAgeMs = 4_000;
 /** Pause between two queries of an endpoint's status. */
 const statusPollIntervalMs = 40;
 /** Time for which a group without a record must have had no primary before a replica is promoted. */
@@ -83,6 +85,7 @@
     const storedRecords = new Map<string, registry.StoredRecord>();
     const noPrimarySinceMs = new Map<string, number>();
     const replacedAtMs = new Map<string, number>();
+    const startedAtMs = clock.now();
 
     /** True while this host still holds the lock that it held when an attempt began. */
     const holdsLock = (token: number): boolean => options.fencingToken() === token;
@@ -133,7 +136,8 @@
             notice.confirmAll(record, expiredAtMs),
             options.applyAndFence(record),
         ]);
-        const isConfirmed = snapshot !== undefined && unconfirmed.length === 0;
+        // Hosts that this one hasn't met yet may rely on a poll that an earlier process at its address answered.
+        const isConfirmed = snapshot !== undefined && unconfirmed.length === 0 && knowsHosts(writtenAtMs);
         if (!isConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs) {
             await clock.sleep(Math.max(0, expiredAtMs - clock.now()));
         }
@@ -190,18 +194,24 @@
         return undefined;
     }
 
+    /** True once this process has run for so long that no host may rely on a poll which it doesn't know of. */
+    const knowsHosts = (nowMs: number): boolean => nowMs - startedAtMs >= options.maxProofAgeMs;
+
     /**
-     * True if a planned replacement can succeed: a successor answers and has received nearly all of the log. Otherwise the
-     * fence would only interrupt the writes.
+     * True if a planned replacement can succeed without a long interruption of the writes: a successor answers and has
+     * received nearly all of the log, and all hosts can confirm the change. Near its bound it goes ahead without that.
      */
     async function canBegin(group: groups.Group, primary: string, reason: string): Promise<boolean> {
         const endpoints = options.endpoints(group.name);
         const successors = options.relocation.successors(group.name, primary, reason);
         const statusById = await statuses(endpoints.filter(({ id }) => id === primary || successors.has(id)));
         const isUrgent = options.relocation.isUrgent(endpoints.find(({ id }) => id === primary));
+        const canConfirm = knowsHosts(clock.now())
+            && options.peers.peerProofs().every(({ pollAgeMs }) => pollAgeMs <= maxPollAgeMs);
         const end = statusById.get(primary)?.received;
         return [...statusById].some(([id, { received }]) =>
-            id !== primary && successors.has(id) && (isUrgent || decisions.isCaughtUp(received, end))
+            id !== primary && successors.has(id)
+            && (isUrgent || (canConfirm && decisions.isCaughtUp(received, end)))
         );
     }
 
