Promote only a replica that holds every acknowledged commit

Cause: with synchronous replicas an acknowledged commit may be on a single replica beside the primary. The successor was the longest log among those that answered within 200 ms of the first answer, however many were missing; a replica that lags serves no reads, so it has no load and answers first. sync_replicas wasn't read.

Ruled out: commits acknowledged after the choice (hosts are fenced by then); a rollback of the promoted log (it never had the commits).

Why this works: a log is taken for complete only if it holds all that the old primary reports after its step-down, or if it is the longest and fewer listed replicas than sync_replicas have not answered: then at least one of those that hold an acknowledged commit has. Otherwise the attempt is repeated, and the group has no primary meanwhile. Groups without synchronous replicas choose as before.

--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -44,6 +44,8 @@
     readonly name: string;
     /** Maximum number of connections to each endpoint from all hosts together. */
     readonly maxConnections: number;
+    /** Replicas that must have received a commit before the primary acknowledges it. */
+    readonly syncReplicas: number;
     /** Time for which an endpoint is slow after its start, in milliseconds; absent if it never is. */
     readonly coldStartMs?: number;
     /** Requests a second that a slow endpoint is meant to get from all hosts together; absent if there is no bound. */
--- a/src/core/promotion.test.ts
+++ b/src/core/promotion.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as fc from "fast-check";
 import * as promotion from "./promotion.js";
 
 const healthy: promotion.Contact = { answerAgeMs: 50, failingForMs: undefined };
@@ -98,4 +99,57 @@
             .to.equal("b");
         chai.expect(promotion.chooseCandidate([])).to.equal(undefined);
     });
+
+    // Guards against the promotion of a replica that lacks commits which another replica confirmed before they were acknowledged.
+    it("takes a log for complete only if it holds every commit that enough replicas have received", () => {
+        const received = fc.array(fc.nat(20), { minLength: 1, maxLength: 4 });
+        fc.assert(
+            fc.property(
+                received,
+                fc.nat(3),
+                fc.infiniteStream(fc.boolean()),
+                fc.nat(5),
+                (ends, spare, answers, more) => {
+                    const copies = 1 + spare % ends.length;
+                    const acknowledged = [...ends].sort((left, right) => right - left)[copies - 1] ?? 0;
+                    const answered = ends.filter(() => answers.next().value === true);
+                    const longest = Math.max(...ends);
+                    const oldPrimary = answers.next().value === true ? { term: 1, index: longest + more } : undefined;
+                    const logs = {
+                        replicas: ends.length,
+                        copies,
+                        answered: answered.map(index => ({ term: 1, index })),
+                        oldPrimary,
+                        reported: undefined,
+                    };
+                    answered.forEach(index => {
+                        if (promotion.holdsAcknowledged({ term: 1, index }, logs)) {
+                            chai.expect(index).to.be.at.least(acknowledged);
+                        }
+                    });
+                    const best = Math.max(...answered);
+                    if (answered.length === ends.length) {
+                        chai.expect(
+                            promotion.holdsAcknowledged({ term: 1, index: best }, { ...logs, oldPrimary: undefined }),
+                        )
+                            .to.equal(true);
+                    }
+                },
+            ),
+            { numRuns: 5_000, seed: 20_321 },
+        );
+    });
+
+    it("doesn't take the log of an old primary that started anew for the end of all commits", () => {
+        const logs = {
+            replicas: 2,
+            copies: 1,
+            answered: [{ term: 1, index: 10 }],
+            oldPrimary: { term: 1, index: 0 },
+            reported: undefined,
+        };
+        chai.expect(promotion.holdsAcknowledged({ term: 1, index: 10 }, logs)).to.equal(false);
+        const unlisted = { ...logs, replicas: 1, answered: [{ term: 1, index: 0 }], reported: { term: 1, index: 40 } };
+        chai.expect(promotion.holdsAcknowledged({ term: 1, index: 0 }, { ...unlisted, replicas: 2 })).to.equal(false);
+    });
 });
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -114,6 +114,38 @@
     readonly roundTripMs: number;
 }
 
+/** What is known of the logs of a group, once no host acknowledges commits of the old primary any longer. */
+export interface Logs {
+    /** Number of the listed replicas: all endpoints but the old primary. */
+    readonly replicas: number;
+    /** How many of these logs contain an acknowledged commit at least; 0 if commits are acknowledged by the primary alone. */
+    readonly copies: number;
+    /** Ends of the logs of those that answered. */
+    readonly answered: readonly positions.Position[];
+    /** End of the old primary's log; undefined without an answer. */
+    readonly oldPrimary: positions.Position | undefined;
+    /** The newest position that the old primary is known to have reported; undefined without one. */
+    readonly reported: positions.Position | undefined;
+}
+
+/**
+ * True if a log that ends there contains every acknowledged commit. Either it contains all of the old primary's log; or no
+ * log that answered is longer, and so few did not answer that they can't be all that hold an acknowledged commit. An old
+ * primary whose log is shorter than what it reported, or than a replica's, has lost its log and proves nothing.
+ */
+export function holdsAcknowledged(received: positions.Position, logs: Logs): boolean {
+    if (logs.copies === 0) {
+        return true;
+    }
+    const longest = logs.answered.reduce(positions.max, logs.reported ?? positions.zero);
+    if (logs.oldPrimary !== undefined && positions.compare(logs.oldPrimary, longest) >= 0) {
+        return positions.compare(received, logs.oldPrimary) >= 0;
+    }
+    const unanswered = logs.replicas - logs.answered.length;
+    return unanswered < logs.copies
+        && logs.answered.every(answered => positions.compare(received, answered) >= 0);
+}
+
 /**
  * Chooses the replica to promote: the one that has received most of the log, so that the fewest commits are lost.
  * Among equals it prefers one that isn't draining, then the one whose region serves most routes, then the one with the
--- a/src/platform/documents.test.ts
+++ b/src/platform/documents.test.ts
@@ -40,10 +40,21 @@
         chai.expect(group({ cold_start_s: 8, cold_per_s: 20 })).to.deep.equal({
             name: "ledger",
             maxConnections: 16,
+            syncReplicas: 0,
             coldStartMs: 8_000,
             coldPerSecond: 20,
         });
-        chai.expect(group({ cold_start_s: 8, cold_per_s: 0 })).to.deep.equal({ name: "ledger", maxConnections: 16 });
+        chai.expect(group({ cold_start_s: 8, cold_per_s: 0 })).to.deep.equal({
+            name: "ledger",
+            maxConnections: 16,
+            syncReplicas: 0,
+        });
+    });
+
+    it("parses the number of synchronous replicas; none unless given", () => {
+        const services = [{ name: "ledger", sync_replicas: 1 }, { name: "stock" }];
+        const { groups } = documents.parsePolicy(JSON.stringify({ version: 1, routes: [], services }))._unsafeUnwrap();
+        chai.expect([...groups.values()].map(group => group.syncReplicas)).to.deep.equal([1, 0]);
     });
 
     const invalidEntries: readonly string[] = [
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -38,6 +38,7 @@
     services: z.array(z.object({
         name,
         max_connections: z.number().int().min(1).default(16),
+        sync_replicas: z.number().int().min(0).default(0),
         cold_start_s: z.number().min(0).default(0),
         /** Requests a second; 0: no bound. */
         cold_per_s: z.number().min(0).default(0),
@@ -81,6 +82,7 @@
             {
                 name: service.name,
                 maxConnections: service.max_connections,
+                syncReplicas: service.sync_replicas,
                 ...service.cold_per_s > 0
                     ? { coldStartMs: service.cold_start_s * 1_000, coldPerSecond: service.cold_per_s }
                     : {},
--- a/src/proxy/coldgate.test.ts
+++ b/src/proxy/coldgate.test.ts
@@ -38,7 +38,13 @@
     const received: Fleet["received"] = [];
     const policy: policies.Policy = {
         ...policies.empty,
-        groups: new Map([["ledger", { name: "ledger", maxConnections: 40, coldStartMs: 8_000, coldPerSecond: 20 }]]),
+        groups: new Map([["ledger", {
+            name: "ledger",
+            maxConnections: 40,
+            syncReplicas: 0,
+            coldStartMs: 8_000,
+            coldPerSecond: 20,
+        }]]),
     };
     const gates: coldGates.ColdGate[] = [];
     const watched: directories.Directory[] = [];
--- a/src/proxy/evacuations.test.ts
+++ b/src/proxy/evacuations.test.ts
@@ -21,7 +21,7 @@
     }
     afterEach(() => fleet.close());
 
-    const { evacuationsPrefix = "", endpointsPrefix } = simulatedEndpoints.createStoreLayout(true);
+    const { evacuationsPrefix = "", endpointsPrefix } = simulatedEndpoints.createStoreLayout(true, 0);
     const evacuate = (domain: string): void => fleet.store.put(`${evacuationsPrefix}${domain}`, "{}");
     const takeBack = (domain: string): void => fleet.store.remove(`${evacuationsPrefix}${domain}`);
     const phases = (domain: string): readonly string[] => fleet.hosts.map(host => host.evacuations.phase(domain));
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -68,6 +68,11 @@
     primarySuspected: { ...problem, message: "Replacement of a primary started." },
     primaryFenced: { ...stateChange, message: "No host relies on the record of the old primary any longer." },
     primaryPromoted: { ...stateChange, message: "A replica was promoted to primary." },
+    successorChosen: { ...stateChange, message: "The next primary was chosen by the ends of the replicas' logs." },
+    promotionWithheld: {
+        ...problem,
+        message: "No replica answers, or none is known to hold every acknowledged commit, so none is promoted yet.",
+    },
     promotionFailed: { ...problem, message: "An attempt to replace a primary failed." },
     loginRefused: { ...problem, message: "Login refused." },
     operationRefused: { ...problem, message: "Operation refused." },
--- a/src/proxy/prober.ts
+++ b/src/proxy/prober.ts
@@ -15,13 +15,20 @@
 
 /** Sends control commands to endpoints. */
 export interface Prober {
-    /** Resolves to the endpoint's status, to "busy" when it is up but refuses, or to undefined without a reply. */
+    /** Resolves to the endpoint's status, to "busy" when it is up but refuses, or to undefined without a reply in time. */
     send(
         endpoint: directory.Endpoint,
         request: connections.ControlCommand,
+        timeoutMs?: number,
     ): Promise<connections.Status | "busy" | undefined>;
-    /** Status of each endpoint that replies in time, by id. */
-    statuses(endpoints: readonly directory.Endpoint[]): Promise<ReadonlyMap<string, connections.Status>>;
+    /**
+     * Status of each endpoint that replies in time, by id. With a `patienceMs`, waits as long for those that are slow or
+     * busy; without, only for a moment after the first reply.
+     */
+    statuses(
+        endpoints: readonly directory.Endpoint[],
+        patienceMs?: number,
+    ): Promise<ReadonlyMap<string, connections.Status>>;
     /** Closes the connections to endpoints that may be sent nothing. */
     evict(): void;
     /** Closes the connections; the next command opens them again. */
@@ -78,6 +85,7 @@
     async function send(
         endpoint: directory.Endpoint,
         request: connections.ControlCommand,
+        timeoutMs = probeTimeoutMs,
     ): Promise<connections.Status | "busy" | undefined> {
         if (!options.mayContact(endpoint)) {
             return undefined;
@@ -86,14 +94,20 @@
         if (connection === undefined || connection === "busy") {
             return connection;
         }
-        const result = await connection.control(request, probeTimeoutMs);
+        const result = await connection.control(request, timeoutMs);
         if (result.isOk()) {
             return result.value;
         }
         return result.error === "busy" ? "busy" : undefined;
     }
 
-    async function status(endpoint: directory.Endpoint): Promise<connections.Status | undefined> {
+    async function status(
+        endpoint: directory.Endpoint,
+        patienceMs: number | undefined,
+    ): Promise<connections.Status | undefined> {
+        if (patienceMs !== undefined) {
+            return patientStatus(endpoint, clock.now() + patienceMs);
+        }
         for (let attempt = 0; attempt < busyAttempts; attempt += 1) {
             const reply = await send(endpoint, { kind: "status" });
             if (reply !== "busy") {
@@ -104,8 +118,24 @@
         return undefined;
     }
 
+    /** Queries the endpoint again until it replies: an earlier query that times out ends those on the same connection. */
+    async function patientStatus(
+        endpoint: directory.Endpoint,
+        deadlineMs: number,
+    ): Promise<connections.Status | undefined> {
+        for (let leftMs = deadlineMs - clock.now(); leftMs > 0; leftMs = deadlineMs - clock.now()) {
+            const reply = await send(endpoint, { kind: "status" }, leftMs);
+            if (reply !== "busy" && reply !== undefined) {
+                return reply;
+            }
+            await clock.sleep(busyPauseMs);
+        }
+        return undefined;
+    }
+
     async function statuses(
         endpoints: readonly directory.Endpoint[],
+        patienceMs?: number,
     ): Promise<ReadonlyMap<string, connections.Status>> {
         const replies = new Map<string, connections.Status>();
         let markFirst: () => void = () => undefined;
@@ -113,13 +143,13 @@
             markFirst = resolve;
         });
         const all = Promise.all(endpoints.map(async endpoint => {
-            const reply = await status(endpoint);
+            const reply = await status(endpoint, patienceMs);
             if (reply !== undefined) {
                 replies.set(endpoint.id, reply);
                 markFirst();
             }
         }));
-        await Promise.race([all, firstReply.then(() => clock.sleep(stragglerWaitMs))]);
+        await Promise.race([all, firstReply.then(() => clock.sleep(patienceMs ?? stragglerWaitMs))]);
         return new Map(replies);
     }
 
--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -1,7 +1,6 @@
 /** The steps of replacing a primary: change the record, wait until no host relies on the old one, promote a replica. */
 import type * as directory from "../core/directory.js";
 import type * as leadership from "../core/leadership.js";
-import * as promotion from "../core/promotion.js";
 import * as decisions from "../core/relocation.js";
 import * as storeEra from "../core/storeera.js";
 import type * as connections from "../ports/connection.js";
@@ -15,6 +14,7 @@
 import * as registry from "./registry.js";
 import type * as relocations from "./relocation.js";
 import type * as storeSyncs from "./storesync.js";
+import * as successorChoices from "./successorchoice.js";
 
 /** Settings of a replacer. */
 export interface Options {
@@ -66,12 +66,12 @@
 const minStoreUptimeMs = 3_000;
 /** Hosts that one log line names at most. */
 const maxLoggedHosts = 5;
-/** Time limit for a replica to receive the last commits of a primary that stepped down. */
-const catchUpTimeoutMs = 800;
 /** Time limit for a promoted replica to report itself as primary. */
 const promotionTimeoutMs = 3_000;
 /** Age of the last poll of a host up to which it is expected to confirm a change; covers the exchanges between cells. */
 const maxPollAgeMs = 4_000;
+/** Time limit for one query of a promoted replica, which may be slow. */
+const statusTimeoutMs = 1_500;
 /** Pause between two queries of an endpoint's status. */
 const statusPollIntervalMs = 40;
 /** Time for which a group without a record must have had no primary before a replica is promoted. */
@@ -82,6 +82,7 @@
     const { clock, events, store: client, leadership, prober } = options;
     const { send, statuses } = prober;
     const notice = recordNotices.createRecordNotice({ clock, peers: options.peers });
+    const successorChoice = successorChoices.createSuccessorChoice(options);
     const storedRecords = new Map<string, registry.StoredRecord>();
     const noPrimarySinceMs = new Map<string, number>();
     const replacedAtMs = new Map<string, number>();
@@ -185,7 +186,7 @@
     ): Promise<number | undefined> {
         const deadlineMs = clock.now() + promotionTimeoutMs;
         while (clock.now() < deadlineMs && holdsLock(token)) {
-            const status = await send(endpoint, { kind: "status" });
+            const status = await send(endpoint, { kind: "status" }, statusTimeoutMs);
             if (status !== undefined && status !== "busy" && status.primary && status.term > term) {
                 return status.term;
             }
@@ -259,11 +260,14 @@
         const term = Math.max(previous.term, ...[...statusById.values()].map(status => status.term));
         const stepDownResult = noReplica ? undefined : stepDown(oldPrimary, term + 1);
         const finalStatus = unreachable ? undefined : await stepDownResult;
-        const candidate = noReplica ? oldPrimary : await chooseReplica(
-            group,
-            endpoints.filter(({ id }) => id !== previous.primary && successors.has(id)),
-            finalStatus,
-        );
+        const candidate = noReplica && successorChoice.syncReplicas(group.name) === 0
+            ? oldPrimary
+            : await successorChoice.choose(group, {
+                endpoints,
+                previous: previous.primary,
+                successors,
+                finalStatus: noReplica ? oldStatus : finalStatus,
+            });
         if (candidate === undefined || !holdsLock(token)) {
             return false;
         }
@@ -286,38 +290,6 @@
         return finish(group.name, candidate.id, newTerm, token);
     }
 
-    /** Chooses the replica to promote, once it has received the old primary's whole log or the time limit is over. */
-    async function chooseReplica(
-        group: groups.Group,
-        replicas: readonly directory.Endpoint[],
-        finalStatus: connections.Status | undefined,
-    ): Promise<directory.Endpoint | undefined> {
-        const deadlineMs = clock.now() + (finalStatus === undefined ? 0 : catchUpTimeoutMs);
-        for (;;) {
-            const statusById = await statuses(replicas);
-            const candidates = replicas.flatMap(endpoint => {
-                const status = statusById.get(endpoint.id);
-                return status === undefined ? [] : [{
-                    endpoint: endpoint.id,
-                    received: status.received,
-                    draining: endpoint.draining,
-                    servedRoutes: options.relocation.servedRoutes(endpoint),
-                    roundTripMs: group.roundTripMs(endpoint.id),
-                }];
-            });
-            const candidate = promotion.chooseCandidate(candidates);
-            const complete = finalStatus === undefined
-                || (candidate?.received.index ?? 0) >= finalStatus.received.index;
-            if (candidate !== undefined && (complete || clock.now() >= deadlineMs)) {
-                return replicas.find(endpoint => endpoint.id === candidate.endpoint);
-            }
-            if (clock.now() >= deadlineMs) {
-                return undefined;
-            }
-            await clock.sleep(statusPollIntervalMs);
-        }
-    }
-
     async function createRecord(group: groups.Group): Promise<boolean> {
         const [era, token] = [options.era.current(), options.fencingToken()];
         if (era === undefined || token === undefined) {
--- a/standins/groups/endpoint.ts
+++ b/standins/groups/endpoint.ts
@@ -57,6 +57,8 @@
     follow(log: readonly Commit[], term: number): void;
     receive(commit: Commit): void;
     lag(ms: number): void;
+    /** Answers to STATUS come that late from now on. */
+    delayStatus(ms: number): void;
     /** Runs the next request and keeps its answer back, closing the connection. */
     loseAnswer(): void;
     /** Answers nothing from now on, on open connections and new ones. */
@@ -90,6 +92,7 @@
     let term = 1;
     let leads = false;
     let lagMs = options.lagMs;
+    let statusDelayMs = 0;
     let replicas: readonly Endpoint[] = [];
     let losing = false;
     let silent = false;
@@ -272,6 +275,9 @@
             if (/^(READ|WRITE|EXECUTE|AFTER \S+ (READ|WRITE|EXECUTE))/.test(text.join(" "))) {
                 await new Promise(resolve => setTimeout(resolve, options.workMs));
             }
+            if (text[0] === "STATUS" && statusDelayMs > 0) {
+                await new Promise(resolve => setTimeout(resolve, statusDelayMs));
+            }
             const reply = run(session, id, text.join(" "));
             if (losing && reply.signed === true) {
                 losing = false;
@@ -346,6 +352,9 @@
         lag(ms) {
             lagMs = ms;
         },
+        delayStatus(ms) {
+            statusDelayMs = ms;
+        },
         loseAnswer() {
             losing = true;
         },
--- a/standins/simulatedendpoints.ts
+++ b/standins/simulatedendpoints.ts
@@ -2,6 +2,7 @@
 import * as neverthrow from "neverthrow";
 import * as policies from "../src/core/policy.js";
 import type * as connections from "../src/ports/connection.js";
+import type * as probers from "../src/proxy/prober.js";
 import type * as storeSyncs from "../src/proxy/storesync.js";
 import type * as simulation from "./simulation.js";
 
@@ -9,7 +10,7 @@
 export const group = "ledger";
 const peerDelayMs = 2;
 const promoteMs = 300;
-const timeoutMs = 100;
+const defaultTimeoutMs = 100;
 
 /** An endpoint. */
 export interface Endpoint {
@@ -21,6 +22,10 @@
     readonly cutFrom: Set<number>;
     /** Commands that have reached it. */
     commands: number;
+    /** Number of log entries that it has received. */
+    received: number;
+    /** Time after which it answers a command. */
+    answerMs: number;
 }
 
 /** A promotion that the platform was asked for. */
@@ -39,6 +44,7 @@
         host: number,
         id: string,
         request: connections.ControlCommand,
+        timeoutMs?: number,
     ): Promise<connections.Status | undefined>;
     promote(id: string, holder: string, token: number): Promise<neverthrow.Result<boolean, never>>;
     /** Writes the entries of the endpoints into the store. */
@@ -49,7 +55,7 @@
  * Layout of the documents in the simulated store. All endpoints are in zone-0, or i-1 in zone-1 and so on if they are to be
  * `spread`.
  */
-export const createStoreLayout = (spread: boolean): storeSyncs.StoreLayout => ({
+export const createStoreLayout = (spread: boolean, syncReplicas: number): storeSyncs.StoreLayout => ({
     configurationKey: "op/config",
     endpointsPrefix: "servers/",
     evacuationsPrefix: "op/evacuate/",
@@ -58,7 +64,7 @@
         neverthrow.ok({
             ...policies.empty,
             version: Number(text),
-            groups: new Map([[group, { name: group, maxConnections: 16 }]]),
+            groups: new Map([[group, { name: group, maxConnections: 16, syncReplicas }]]),
             organisations: new Map([["cluj", { name: "cluj", ratePerSecond: 100, burst: 100 }]]),
         }),
     parseEndpoint: (key, text) =>
@@ -84,6 +90,8 @@
         alive: true,
         cutFrom: new Set(),
         commands: 0,
+        received: 1,
+        answerMs: 0,
     }));
     const promotions: Promotion[] = [];
 
@@ -96,18 +104,23 @@
         host: number,
         id: string,
         request: connections.ControlCommand,
+        timeoutMs = defaultTimeoutMs,
     ): Promise<connections.Status | undefined> {
         const endpoint = endpoints.find(candidate => candidate.id === id);
         await clock.sleep(peerDelayMs);
-        if (endpoint === undefined || !endpoint.alive || endpoint.cutFrom.has(host)) {
+        const isReached = endpoint !== undefined && endpoint.alive && !endpoint.cutFrom.has(host);
+        if (!isReached || endpoint.answerMs > timeoutMs) {
             await clock.sleep(timeoutMs);
             return undefined;
         }
+        if (endpoint.answerMs > 0) {
+            await clock.sleep(endpoint.answerMs);
+        }
         endpoint.commands += 1;
         if (request.kind === "stepDown" && request.term > endpoint.term) {
             endpoint.primary = false;
         }
-        const received = { term: endpoint.term, index: 1 };
+        const received = { term: endpoint.term, index: endpoint.received };
         return { primary: endpoint.primary, term: endpoint.term, received } as connections.Status;
     }
 
@@ -130,3 +143,22 @@
 
     return { all: endpoints, promotions, send, promote, list };
 }
+
+/** Creates a prober that sends its commands with the function. */
+export function createProber(
+    send: (...command: Parameters<probers.Prober["send"]>) => Promise<connections.Status | undefined>,
+): probers.Prober {
+    return {
+        send,
+        async statuses(listed, patienceMs) {
+            const found = await Promise.all(
+                listed.map(async endpoint =>
+                    [endpoint.id, await send(endpoint, { kind: "status" }, patienceMs)] as const
+                ),
+            );
+            return new Map(found.flatMap(([id, status]) => (status === undefined ? [] : [[id, status] as const])));
+        },
+        evict: () => undefined,
+        close: () => undefined,
+    };
+}
--- a/standins/simulatedfleet.ts
+++ b/standins/simulatedfleet.ts
@@ -60,9 +60,12 @@
     close(): void;
 }
 
-/** Where the hosts stand, and the bound of evacuations, if the platform has them. */
+/** Where the hosts stand, and what the platform asks for. */
 export interface Topology extends simulatedNetworks.Topology {
+    /** Bound of evacuations, if the platform has them. */
     readonly evacuateMs?: number;
+    /** Replicas that must receive a commit before it is acknowledged; none unless given. */
+    readonly syncReplicas?: number;
 }
 
 /** The parts of a host that other hosts call. */
@@ -95,7 +98,10 @@
     const clock = simulation.createClock();
     const simulatedStore = simulation.createStore(clock);
     const faults = simulatedNetworks.createFaults();
-    const storeLayout = simulatedEndpoints.createStoreLayout(topology.evacuateMs !== undefined);
+    const storeLayout = simulatedEndpoints.createStoreLayout(
+        topology.evacuateMs !== undefined,
+        topology.syncReplicas ?? 0,
+    );
     const { all: endpoints, promotions, send, promote, list } = simulatedEndpoints.createEndpoints(
         clock,
         simulatedStore,
@@ -243,21 +249,10 @@
             store: () => client,
             storeSync: () => storeSync,
         });
-        const sendIfOpen = async (endpoint: directories.Endpoint, request: connections.ControlCommand) =>
-            relocation.mayContact(endpoint) ? send(host, endpoint.id, request) : undefined;
-        const prober = {
-            send: sendIfOpen,
-            async statuses(listed: readonly directories.Endpoint[]) {
-                const found = await Promise.all(
-                    listed.map(async endpoint =>
-                        [endpoint.id, await sendIfOpen(endpoint, { kind: "status" })] as const
-                    ),
-                );
-                return new Map(found.flatMap(([id, status]) => (status === undefined ? [] : [[id, status] as const])));
-            },
-            evict: () => undefined,
-            close: () => undefined,
-        };
+        const prober = simulatedEndpoints.createProber(
+            async (endpoint, request, timeoutMs) =>
+                relocation.mayContact(endpoint) ? send(host, endpoint.id, request, timeoutMs) : undefined,
+        );
         const common = {
             clock: hostClock,
             era,
@@ -320,7 +315,7 @@
             coldGate,
             metrics: { inverted: () => undefined, abandoned: () => undefined },
             dialer: { dial: async () => neverthrow.err(silent.kind) } as unknown as connections.Dialer,
-            queryStatus: endpoint => sendIfOpen(endpoint, { kind: "status" }),
+            queryStatus: async endpoint => (await prober.statuses([endpoint])).get(endpoint.id),
             random,
             self: () => self,
             peers: () => peers,
--- a/standins/simulatedholders.ts
+++ b/standins/simulatedholders.ts
@@ -103,7 +103,13 @@
     const policy: policies.Policy = {
         ...policies.empty,
         version: 1,
-        groups: new Map([["ledger", { name: "ledger", maxConnections: 12, coldStartMs: 0, coldPerSecond: 0 }]]),
+        groups: new Map([["ledger", {
+            name: "ledger",
+            maxConnections: 12,
+            syncReplicas: 0,
+            coldStartMs: 0,
+            coldPerSecond: 0,
+        }]]),
         organisations: new Map(["cluj", "iasi", "arad", "blaj"].map(name => [name, organisation(name)])),
     };
     const find = (id: string) => ({
