Reject endpoint entries with impossible addresses, and survive them

What callers saw: reported by operators of similar systems; shown here by a test. With one odd entry of another writer (port 70000) among the endpoints of a group, a primary that crashes is never replaced: ERROR BUSY HP1105 for good.

Cause: the address was checked for digits only. The replacement asks every listed endpoint for its status, net.connect throws for such a port, and the group stayed marked as being replaced.

Ruled out: deep nesting and numbers out of range (rejected before, without a throw).

Change: addresses are IPv4 with a port from 1 to 65,535; ids and groups are single words, as they become fields of the login line; the dialer returns a failure instead of throwing; an error ends one attempt, not the supervision.

Tests: platform/regressions failed before with expected 'ERROR BUSY HP1105 retry-after-ms=150 ...' to match /^COMPLETE / and five of platform/documents (ports 65536 and 0, octets, blanks in group or id). All pass now.

--- a/src/platform/documents.test.ts
+++ b/src/platform/documents.test.ts
@@ -66,12 +66,28 @@
         JSON.stringify({ ...entry, slots: "2" }),
         JSON.stringify({ ...entry, address: undefined }),
         JSON.stringify({ ...entry, address: "nowhere" }),
+        JSON.stringify({ ...entry, address: "10.1.0.26:65536" }),
+        JSON.stringify({ ...entry, address: "10.1.0.26:0" }),
+        JSON.stringify({ ...entry, address: "10.1.0.260:8240" }),
+        JSON.stringify({ ...entry, address: "10.1.26:8240" }),
+        JSON.stringify({ ...entry, slots: 1e300 }),
+        JSON.stringify({ ...entry, born: 1e300 }),
+        JSON.stringify(entry).replace(/"slots":\d+/, '"slots":1e999'),
+        JSON.stringify({ ...entry, slots: "deep" }).replace('"deep"', "[".repeat(100_000) + "]".repeat(100_000)),
+        JSON.stringify({ ...entry, service: "ledger cluj" }),
     ];
     invalidEntries.forEach(text =>
         it(`rejects the invalid endpoint entry ${JSON.stringify(text.slice(0, 40))}`, () =>
             chai.expect(documents.parseEndpoint("servers/i-7", text).isErr()).to.equal(true))
     );
 
+    // Guards against an id that would end the login line to the endpoint and begin another message.
+    it("rejects an entry whose id isn't a single word", () => {
+        ["servers/", "servers/i 7", "servers/i-7\r\nQUERY 1 WRITE a b"].forEach(key =>
+            chai.expect(documents.parseEndpoint(key, JSON.stringify(entry)).isErr()).to.equal(true)
+        );
+    });
+
     it("parses a configuration and ignores unknown fields", () => {
         const policy = documents.parsePolicy(JSON.stringify({
             version: 7,
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -1,5 +1,6 @@
 /** Parses the documents in the platform's store: the configuration and the list of endpoints. */
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
+import * as net from "node:net";
 import * as z from "zod";
 import * as decode from "../core/decode.js";
 import type * as directory from "../core/directory.js";
@@ -102,9 +103,19 @@
     }));
 }
 
+/** A field of a message to an endpoint, which must not contain what separates fields and messages. */
+const word = z.string().regex(/^[^\s\p{Cc}]+$/u);
+const maxPort = 65_535;
+
+function isAddress(text: string): boolean {
+    const colon = text.lastIndexOf(":");
+    const port = text.slice(colon + 1);
+    return net.isIPv4(text.slice(0, colon)) && /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= maxPort;
+}
+
 const endpointSchema = z.object({
-    service: name,
-    address: z.string().regex(/^[\d.]+:\d+$/),
+    service: word,
+    address: z.string().refine(isAddress, "Not an IPv4 address with a port."),
     zone: z.string(),
     slots: z.number().int().min(1),
     state: z.enum(["ready", "draining"]),
@@ -116,8 +127,12 @@
 
 /** Parses an endpoint's entry, whose key ends in the endpoint's id; the error says what is invalid. */
 export function parseEndpoint(key: string, text: string): neverthrow.Result<directory.Endpoint, string> {
+    const id = word.safeParse(key.slice(endpointsPrefix.length));
+    if (id.error !== undefined) {
+        return neverthrow.err(id.error.message);
+    }
     return decode.json(endpointSchema, text).map(value => ({
-        id: key.slice(endpointsPrefix.length),
+        id: id.data,
         group: value.service,
         address: value.address,
         failureDomain: value.zone,
--- a/src/platform/endpoint.ts
+++ b/src/platform/endpoint.ts
@@ -23,15 +23,30 @@
     return { dial: (target, timeoutMs) => dial(target, timeoutMs, countBytes) };
 }
 
+/** Starts to connect; undefined if the address can't be one. */
+function connect(address: string): net.Socket | undefined {
+    const colon = address.lastIndexOf(":");
+    try {
+        return net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true });
+    }
+    catch {
+        return undefined;
+    }
+}
+
 function dial(
     target: connection.Target,
     handshakeTimeoutMs: number,
     countBytes: ByteCounter,
 ): Promise<neverthrow.Result<connection.Connection, connection.ConnectionError | connection.Refusal>> {
     return new Promise(resolve => {
-        const colon = target.address.lastIndexOf(":");
-        const host = target.address.slice(0, colon);
-        const socket = net.connect({ host, port: Number(target.address.slice(colon + 1)), noDelay: true });
+        const connecting = connect(target.address);
+        if (connecting === undefined) {
+            const message = `Endpoint ${target.endpoint} has the invalid address ${target.address}.`;
+            resolve(neverthrow.err({ sent: false, timedOut: false, message }));
+            return;
+        }
+        const socket = connecting;
         const splitter = wire.createSplitter();
         const pending: PendingRequest[] = [];
         let handshakeDone = false;
--- a/src/platform/regressions.test.ts
+++ b/src/platform/regressions.test.ts
@@ -80,6 +80,36 @@
         await world.close();
     });
 
+    // Guards against an entry of another writer that stops the failover of its group for good: the connection to a port out of
+    // range threw in the midst of the first attempt.
+    it("replaces a primary although another writer left odd entries among those of the endpoints", async () => {
+        const world = await worlds.start({ hosts: 3 });
+        const odd = { service: worlds.group, address: "127.0.0.1:70000", zone: "zone-0", slots: 4, state: "ready" };
+        const entries: readonly (readonly [string, string])[] = [
+            ["servers/odd-port", JSON.stringify({ ...odd, db_role: "replica", born: 1, sequence: 1 })],
+            [
+                "servers/odd-number",
+                JSON.stringify({ ...odd, address: "127.0.0.1:9", slots: 1e300, db_role: "replica" }),
+            ],
+            ["servers/odd-nesting", `{"service":${"[".repeat(50_000)}${"]".repeat(50_000)}}`],
+            ["servers/odd id", JSON.stringify({ ...odd, address: "127.0.0.1:9", db_role: "replica" })],
+        ];
+        entries.forEach(([key, value]) => world.store.put(key, value));
+        await delay(1_500);
+        const old = world.primary();
+        await old.crash();
+        world.store.remove(`servers/${old.id}`);
+        const deadlineMs = performance.now() + 8_000;
+        while (performance.now() < deadlineMs && world.promotions.length === 0) {
+            await delay(50);
+        }
+        await delay(500);
+        const caller = (await world.connect(0, "orders"))._unsafeUnwrap();
+        const lines = await caller.ask("WRITE saddle red");
+        await world.close();
+        chai.expect(lines[0]).to.match(/^COMPLETE /);
+    });
+
     it("keeps serving other callers while one sends random bytes, half messages and resets", async () => {
         const world = await worlds.start({ hosts: 2 });
         const random = randoms.xoroshiro128plus(seed);
--- a/src/proxy/coordinator.ts
+++ b/src/proxy/coordinator.ts
@@ -167,7 +167,11 @@
     async function attempt(group: groups.Group, task: () => Promise<boolean>): Promise<void> {
         const state = stateOf(group.name);
         state.replacing = true;
-        const running = task();
+        // An error that one attempt meets must not keep the group from being supervised.
+        const running = task().catch((thrown: unknown) => {
+            events.emit("promotionFailed", { group: group.name, error: String(thrown) });
+            return false;
+        });
         attempts.add(running);
         const done = await running;
         attempts.delete(running);
