Keep the session values that a running request was sent with

Cause: a session handed its own map of values to each statement. The first attempt of a hedged read goes on after the answer; when its set-up was answered late, the connection was noted with the values that the map held by then, not with those that were sent, and later statements relied on the note.

Ruled out: a connection checked out twice; a lost or reordered SET (a set-up that isn't answered in full discards the connection).

Change: SET replaces the values, so a request keeps those of its moment, and the set-up notes what it sent.

Tests, failed before: proxy/statement: [ 'v1' ] instead of [ 'v1', 'v2' ] proxy/session: [ 'v2', 'v2' ] instead of [ 'v1', 'v2' ]

--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -66,7 +66,8 @@
 /** Creates the session of an authorised caller. The key is checked again on every request. */
 export function createSession(options: Options, database: string, key: string): caller.Session {
     const { clock, executor, transactions: transactionExecutor } = options;
-    const variables = new Map<string, string>();
+    /** Replaced by each SET and never changed: requests that are still running keep the values that they were sent with. */
+    let variables: ReadonlyMap<string, string> = new Map();
     const prepared = new Map<string, PreparedStatement>();
     let block: TransactionBlock | undefined;
     let lastCommit: (readPositions.Commit & { readonly group: string }) | undefined;
@@ -329,7 +330,7 @@
         }
         switch (request.kind) {
             case "set":
-                variables.set(request.name, request.value);
+                variables = new Map([...variables, [request.name, request.value]]);
                 return acknowledge();
             case "prepare":
                 prepared.set(request.name, { mode: request.mode, template: request.template });
--- a/src/proxy/statement.ts
+++ b/src/proxy/statement.ts
@@ -87,6 +87,7 @@
     clock: runtime.Clock,
 ): Promise<boolean> {
     const commands: connections.Command[] = [];
+    const changed: (readonly [name: string, value: string])[] = [];
     // Only a reset removes a variable; it also drops the prepared statements.
     const hasForeignVariables = [...pooled.variables.keys()].some(name => !context.variables.has(name));
     if (hasForeignVariables) {
@@ -96,12 +97,14 @@
     }
     for (const [name, value] of context.variables) {
         if (pooled.variables.get(name) !== value) {
+            changed.push([name, value]);
             commands.push({ kind: "set", name, value });
         }
     }
     const key = preparedStatementKey(statement);
-    if (statement?.body.kind === "prepared" && key !== undefined && !pooled.prepared.has(key)) {
-        const handle = `h${pooled.prepared.size}`;
+    const handle = `h${pooled.prepared.size}`;
+    const isPrepared = key === undefined || pooled.prepared.has(key);
+    if (statement?.body.kind === "prepared" && !isPrepared) {
         commands.push({ kind: "prepare", handle, mode: statement.mode, template: statement.body.template });
     }
     const timeoutMs = Math.min(setupTimeoutMs, Math.max(1, remainingMs(context, clock)));
@@ -111,9 +114,10 @@
     if (!replies.every(reply => reply.isOk() && reply.value.outcome.kind === "done")) {
         return false;
     }
-    context.variables.forEach((value, name) => pooled.variables.set(name, value));
-    if (key !== undefined && !pooled.prepared.has(key)) {
-        pooled.prepared.set(key, `h${pooled.prepared.size}`);
+    // The connection has the values that were sent, whatever the session has set meanwhile.
+    changed.forEach(([name, value]) => pooled.variables.set(name, value));
+    if (key !== undefined && !isPrepared) {
+        pooled.prepared.set(key, handle);
     }
     return true;
 }
