Wait after a start only until earlier answers have expired

What callers saw: nothing yet; the full run of the tests did.

What it guards against is an answer of an earlier process at the same address, which supports trust for one proof age from the start of this process on at most.

Change: the wait ends one proof age after the start.

--- a/src/proxy/replacement.ts
+++ b/src/proxy/replacement.ts
@@ -86,7 +86,10 @@
     const storedRecords = new Map<string, registry.StoredRecord>();
     const noPrimarySinceMs = new Map<string, number>();
     const replacedAtMs = new Map<string, number>();
-    const startedAtMs = clock.now();
+    /**
+     * Until then, hosts that this one hasn't met may rely on a poll that an earlier process at its address answered.
+     */
+    const earlierAnswersUntilMs = clock.now() + options.maxProofAgeMs;
 
     /** True while this host still holds the lock that it held when an attempt began. */
     const holdsLock = (token: number): boolean => options.fencingToken() === token;
@@ -137,10 +140,11 @@
             notice.confirmAll(record, expiredAtMs),
             options.applyAndFence(record),
         ]);
-        // Hosts that this one hasn't met yet may rely on a poll that an earlier process at its address answered.
-        const isConfirmed = snapshot !== undefined && unconfirmed.length === 0 && knowsHosts(writtenAtMs);
-        if (!isConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs) {
-            await clock.sleep(Math.max(0, expiredAtMs - clock.now()));
+        const isConfirmed = snapshot !== undefined && unconfirmed.length === 0;
+        const mustExpire = !isConfirmed || options.storeSync.sinceStoreFailureMs() < minStoreUptimeMs;
+        const untilMs = mustExpire ? expiredAtMs : earlierAnswersUntilMs;
+        if (untilMs > clock.now()) {
+            await clock.sleep(untilMs - clock.now());
         }
         const current = leadership.find(record.group);
         const inForce = holdsLock(token) && current?.epoch === record.epoch;
@@ -195,9 +199,6 @@
         return undefined;
     }
 
-    /** True once this process has run for so long that no host may rely on a poll which it doesn't know of. */
-    const knowsHosts = (nowMs: number): boolean => nowMs - startedAtMs >= options.maxProofAgeMs;
-
     /**
      * True if a planned replacement can succeed without a long interruption of the writes: a successor answers and has
      * received nearly all of the log, and all hosts can confirm the change. Near its bound it goes ahead without that.
@@ -207,7 +208,7 @@
         const successors = options.relocation.successors(group.name, primary, reason);
         const statusById = await statuses(endpoints.filter(({ id }) => id === primary || successors.has(id)));
         const isUrgent = options.relocation.isUrgent(endpoints.find(({ id }) => id === primary));
-        const canConfirm = knowsHosts(clock.now())
+        const canConfirm = clock.now() >= earlierAnswersUntilMs
             && options.peers.peerProofs().every(({ pollAgeMs }) => pollAgeMs <= maxPollAgeMs);
         const end = statusById.get(primary)?.received;
         return [...statusById].some(([id, { received }]) =>
