Roll a transaction back whose key has moved to another organisation

Cause: requests are authorised one by one, but a transaction kept the connection of its BEGIN's organisation, and the two were never compared.

Ruled out: a late configuration (the host applied it).

Change: the transaction remembers its organisation; when it differs from that of the request, it is rolled back and the caller gets 1202.

Tests: proxy/session, two tests, failed before.

--- a/src/proxy/session.test.ts
+++ b/src/proxy/session.test.ts
@@ -86,4 +86,23 @@
         await session.handle("4", { kind: "statement", mode: "read", text: "READ item" });
         chai.expect(contexts.map(context => context.variables.get("search"))).to.deep.equal(["v1", "v2"]);
     });
+
+    // Guards against a transaction that goes on for the organisation that held the key at its BEGIN.
+    for (const last of ["statement", "commit"] as const) {
+        it(`rolls a transaction back whose key has moved to another organisation, at the next ${last}`, async () => {
+            let holder = "cluj";
+            const { session, log } = createSession(() => ({ ...policy, keys: new Map([["key", holder]]) }));
+            const read = { kind: "statement", mode: "read", text: "READ item" } as const;
+            await session.handle("1", { kind: "begin", readOnly: false });
+            await session.handle("2", read);
+            holder = "iasi";
+            const response = await session.handle("3", last === "commit" ? { kind: "commit" } : read);
+            chai.expect(response.result._unsafeUnwrapErr().code).to.equal(failure.Code.transactionLost);
+            chai.expect(response.state).to.equal(last === "commit" ? "idle" : "failed");
+            await session.handle("4", { kind: "rollback" });
+            await session.handle("5", { kind: "begin", readOnly: false });
+            await session.handle("6", read);
+            chai.expect(log).to.deep.equal(["begin for cluj", "2", "rollback", "begin for iasi", "6"]);
+        });
+    }
 });
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -2,7 +2,7 @@
 import * as neverthrow from "neverthrow";
 import * as failure from "../core/failure.js";
 import type * as homes from "../core/homes.js";
-import * as limiters from "../core/limiter.js";
+import type * as limiters from "../core/limiter.js";
 import type * as policies from "../core/policy.js";
 import type * as positions from "../core/position.js";
 import type * as readPositions from "../core/readposition.js";
@@ -12,6 +12,7 @@
 import type * as events from "./events.js";
 import type * as executors from "./executor.js";
 import type * as groups from "./group.js";
+import * as rateChecks from "./ratecheck.js";
 import * as responses from "./responses.js";
 import type * as statements from "./statement.js";
 import type * as transactions from "./transactions.js";
@@ -53,8 +54,9 @@
     readonly id: string;
     readonly readOnly: boolean;
     readonly arrivedMs: number;
+    /** Route, organisation and regions of the transaction, as of its BEGIN. */
     readonly route: policies.Route;
-    /** Regions in which the transaction may run, as of its BEGIN. */
+    readonly organisation: string;
     readonly homes: homes.Homes;
     transaction: transactions.Transaction | undefined;
     failed: boolean;
@@ -66,6 +68,7 @@
 /** Creates the session of an authorised caller. The key is checked again on every request. */
 export function createSession(options: Options, database: string, key: string): caller.Session {
     const { clock, executor, transactions: transactionExecutor } = options;
+    const rateCheck = rateChecks.createRateCheck(options, database);
     /** Replaced by each SET and never changed: requests that are still running keep the values that they were sent with. */
     let variables: ReadonlyMap<string, string> = new Map();
     const prepared = new Map<string, PreparedStatement>();
@@ -112,34 +115,6 @@
         };
     }
 
-    /** Returns the failure if the organisation exceeds its rate limit; anonymous callers have no limit. */
-    function checkRateLimit(
-        id: string,
-        authorisation: access.Authorisation,
-        nowMs: number,
-    ): failure.Failure | undefined {
-        if (authorisation.organisation === access.anonymous) {
-            return undefined;
-        }
-        const decision = options.limiter.admit(authorisation.organisation, nowMs);
-        if (decision.admitted) {
-            options.metrics.admitted(authorisation.organisation);
-            return undefined;
-        }
-        const cause = limiters.limitExceeded(authorisation.organisation, decision.retryAfterMs);
-        options.events.emit("operationRefused", {
-            request: id,
-            organisation: authorisation.organisation,
-            database,
-            code: cause.code,
-            reason: cause.message,
-            retryAfterMs: cause.retryAfterMs,
-            ...decision.state,
-        });
-        options.metrics.refused(database, authorisation.organisation, cause.code, 0);
-        return cause;
-    }
-
     /** Ends the transaction for the caller; rolls it back at the endpoint if it is still open there. */
     function endTransaction(): void {
         block?.cancelIdleTimeout?.();
@@ -170,6 +145,36 @@
         }
     }
 
+    /**
+     * Rolls the transaction back if the key belongs to another organisation than at its BEGIN, on whose behalf nothing more
+     * may run. Returns the answer to the request, unless that is the same as in any failed transaction.
+     */
+    function loseForeignTransaction(
+        id: string,
+        request: caller.Request,
+        { organisation }: access.Authorisation,
+    ): caller.Response | undefined {
+        if (block === undefined || block.failed || block.organisation === organisation) {
+            return undefined;
+        }
+        const reason = "its key belongs to another organisation now";
+        options.events.emit("transactionLost", {
+            database,
+            request: id,
+            reason,
+            organisation: block.organisation,
+            holder: organisation,
+        });
+        failTransaction(block);
+        if (request.kind === "rollback") {
+            return undefined;
+        }
+        if (request.kind === "commit") {
+            endTransaction();
+        }
+        return refuse(transactionLost(reason));
+    }
+
     /** Records the position of a commit, so that later reads of this session see it (read-your-writes). */
     function recordCommit(result: Result<statements.EndpointReply>, route: policies.Route, wrote: boolean): void {
         if (result.isOk() && wrote && result.value.reply.position !== undefined) {
@@ -199,7 +204,7 @@
         authorisation: access.Authorisation,
         nowMs: number,
     ): Promise<caller.Response> {
-        const limitFailure = checkRateLimit(statement.id, authorisation, nowMs);
+        const limitFailure = rateCheck.check(statement.id, authorisation, nowMs);
         if (limitFailure !== undefined) {
             return refuse(limitFailure);
         }
@@ -301,7 +306,7 @@
         if (block !== undefined) {
             return refuse(responses.invalidRequest("A transaction is already open."));
         }
-        const limitFailure = checkRateLimit(id, authorisation, nowMs);
+        const limitFailure = rateCheck.check(id, authorisation, nowMs);
         if (limitFailure !== undefined) {
             return refuse(limitFailure);
         }
@@ -309,8 +314,7 @@
             id,
             readOnly,
             arrivedMs: nowMs,
-            route: authorisation.route,
-            homes: authorisation.homes,
+            ...authorisation,
             transaction: undefined,
             failed: false,
             cancelIdleTimeout: undefined,
@@ -374,7 +378,8 @@
                 handling = false;
                 return refuse(authorised.error, true);
             }
-            const response = await dispatch(id, request, authorised.value, clock.now());
+            const lost = loseForeignTransaction(id, request, authorised.value);
+            const response = lost ?? await dispatch(id, request, authorised.value, clock.now());
             handling = false;
             // The caller disconnected during the request.
             if (closed) {
