Answer the requests that run when a stopped host closes

Cause: the drain served transactions until 0.7 s before the end of the grace and closed all connections then.

Ruled out: a process that is killed (the host closed them itself).

Change: once half of the grace is over, a request whose time limit ends after the close is refused (1202 in a transaction, else 1104), and what still runs at the close is answered with what is certain of it.

Test: platform/regressions, failed before with 2 to 8 requests cut, as expected [ 'stop-8-15', 'stop-4-16' ] to deeply equal []

--- a/src/platform/regressions.test.ts
+++ b/src/platform/regressions.test.ts
@@ -52,6 +52,38 @@
         chai.expect(halfAnswered).to.deep.equal([]);
     });
 
+    // Guards against requests of open transactions that were passed on to an endpoint and cut off when the host closed.
+    it("answers every request of the transactions that are open during its planned stop", async () => {
+        const world = await worlds.start({ hosts: 2, workMs: 40 });
+        const cut: string[] = [];
+        let asked = 0;
+        const transactions = Array.from({ length: 16 }, async (_, number) => {
+            const caller = (await world.connect(0, number % 2 === 0 ? "orders" : "catalogue"))._unsafeUnwrap();
+            await delay(300);
+            for (let count = 0; count < 60; count += 1) {
+                const id = `stop-${number}-${count}`;
+                const text = count === 0 ? "BEGIN READ" : `READ item-${number}`;
+                asked += 1;
+                // A request on a connection that has been closed between requests gets no answer.
+                const lines = await Promise.race([caller.ask(text, id), delay(2_500).then(() => ["closed"])]);
+                if (lines.includes("closed")) {
+                    cut.push(id);
+                }
+                if (lines.includes("closed") || lines[0]?.startsWith("ERROR") === true) {
+                    break;
+                }
+                await delay(15 + number);
+            }
+        });
+        await delay(500);
+        await world.hosts[0]?.stop();
+        await Promise.all(transactions);
+        const passedOn = new Set(world.endpoints.flatMap(endpoint => endpoint.runs.map(run => run.id)));
+        await world.close();
+        chai.expect(asked).to.be.above(100);
+        chai.expect(cut.filter(id => passedOn.has(id))).to.deep.equal([]);
+    });
+
     it("uses neither a withdrawn key nor an endpoint that left, after a restart while the store is away", async () => {
         const world = await worlds.start({ hosts: 3 });
         world.configure({
--- a/src/proxy/assembly.ts
+++ b/src/proxy/assembly.ts
@@ -11,7 +11,7 @@
 import type * as caller from "../ports/caller.js";
 import type * as network from "../ports/network.js";
 import * as activities from "./activity.js";
-import type * as callerDrain from "./callerdrain.js";
+import * as callerDrain from "./callerdrain.js";
 import * as callerServices from "./callerservice.js";
 import * as clusterViews from "./clusterview.js";
 import * as coldGates from "./coldgate.js";
@@ -39,6 +39,7 @@
 import * as replacers from "./replacement.js";
 import * as restorers from "./restoration.js";
 import * as settingsFile from "./settings.js";
+import * as stoppingSessions from "./stoppingsession.js";
 import * as storeSyncs from "./storesync.js";
 import * as timings from "./timings.js";
 import * as transactions from "./transactions.js";
@@ -50,8 +51,6 @@
     const lifecycle = lifecycles.createLifecycle(log);
     let self = settingsFile.memberOf(settings, environment.incarnation);
     let callers: callerDrain.CallerListener | undefined;
-    let stoppingSinceMs: number | undefined;
-    let refusesLogins = false;
     let stopTasks: (() => void) | undefined;
     const era = storeEras.createStoreEra({
         now: clock.now,
@@ -248,10 +247,17 @@
             // A host that doesn't know the evacuations yet answers like one without configuration.
             policy: () => (evacuations().known() ? storeSync().policy() : policies.empty),
             group: name => clusterView().group(name),
-            refusesLogins: () => refusesLogins,
+            stoppingSessions: stopping,
         })
     ).inSingletonScope();
 
+    const stopping = stoppingSessions.createStoppingSessions({
+        clock,
+        graceMs: settings.graceMs,
+        events: () => events(),
+        policy: () => storeSync().policy(),
+    });
+
     /** Options that the parts which serve callers have in common. */
     const common = () => ({
         clock,
@@ -312,7 +318,7 @@
 
     const readinessState = readinessStates.createReadiness({
         events,
-        stopping: () => stoppingSinceMs !== undefined,
+        stopping: () => stopping.limits() !== undefined,
         conditions: () => ({
             configuration: storeSync().policy().version > 0,
             endpoints: directory().all().length > 0,
@@ -354,7 +360,7 @@
             stopTasks = periodicTasks.start({ ...components(), activity, readiness: readinessState });
         },
         // Transactions of other hosts get the same part of the grace to end as those of callers.
-        drain: () => sharing().drain((stoppingSinceMs ?? clock.now()) + settings.graceMs / 2),
+        drain: () => sharing().drain(stopping.limits()?.transactionsUntilMs ?? clock.now()),
         close: () => stopTasks?.(),
     });
     lifecycle.add(callerServices.createCallerService({
@@ -364,14 +370,11 @@
         metrics,
         login: () => container.get<caller.Login>(id.login),
         ready: readinessState.ready,
+        stopping,
         onDrain() {
-            stoppingSinceMs = clock.now();
             self = { ...self, leaving: true };
             readinessState.report();
         },
-        refuseLogins() {
-            refusesLogins = true;
-        },
         onClose: () => clusterView().groups().forEach(group => group.close()),
         onListening(listener) {
             callers = listener;
--- a/src/proxy/callerdrain.ts
+++ b/src/proxy/callerdrain.ts
@@ -26,23 +26,37 @@
     refuseLogins(): void;
 }
 
+/** Moments of a stop, on the monotonic clock of the host. */
+export interface Limits {
+    /** Until then, transactions go on whatever their time limits. */
+    readonly transactionsUntilMs: number;
+    /** Connections are closed then, also those with a request in progress. */
+    readonly closesAtMs: number;
+}
+
 /** Time until the platform stops routing callers to a host that is not ready: two failed readiness checks. */
 const rotationTimeoutMs = 2_300;
 const pollIntervalMs = 50;
 /** Part of the grace that is reserved for closing and writing the last log lines. */
 const exitMarginMs = 700;
 
+/** The limits of a stop that began at the given time. */
+export function limitsOf(startMs: number, graceMs: number): Limits {
+    return { transactionsUntilMs: startMs + graceMs / 2, closesAtMs: startMs + graceMs - exitMarginMs };
+}
+
 /** Resolves when all callers are gone, or when the grace is nearly over. */
 export async function drain(options: Options): Promise<void> {
     const { clock, graceMs } = options;
     const startMs = clock.now();
+    const limits = limitsOf(startMs, graceMs);
     options.onStart();
     await clock.sleep(Math.min(rotationTimeoutMs, graceMs / 3));
     options.refuseLogins();
-    while (clock.now() < startMs + graceMs - exitMarginMs) {
+    while (clock.now() < limits.closesAtMs) {
         const callers = options.callers();
         callers?.closeIdle();
-        const pastHalf = clock.now() >= startMs + graceMs / 2;
+        const pastHalf = clock.now() >= limits.transactionsUntilMs;
         if ((callers?.count() ?? 0) === 0 || (pastHalf && (callers?.busy() ?? 0) === 0)) {
             return;
         }
--- a/src/proxy/callerservice.ts
+++ b/src/proxy/callerservice.ts
@@ -6,6 +6,7 @@
 import * as metricsRegistry from "./metrics.js";
 import type * as platforms from "./platform.js";
 import type * as settingsFile from "./settings.js";
+import type * as stoppingSessions from "./stoppingsession.js";
 
 /** Settings and collaborators of the part. */
 export interface Options {
@@ -17,8 +18,7 @@
     ready(): boolean;
     /** Called as the drain begins. */
     onDrain(): void;
-    /** Refuses new sessions from now on. */
-    refuseLogins(): void;
+    readonly stopping: stoppingSessions.StoppingSessions;
     /** Called once the host listens for callers. */
     onListening(listener: callerDrain.CallerListener): void;
     /** Called after the callers' connections were closed. */
@@ -43,14 +43,19 @@
                 options.metrics(),
             );
         },
-        drain: () =>
-            callerDrain.drain({
+        async drain() {
+            await callerDrain.drain({
                 clock,
                 graceMs: settings.graceMs,
                 callers: () => callers,
-                onStart: options.onDrain,
-                refuseLogins: options.refuseLogins,
-            }),
+                onStart() {
+                    options.stopping.begin();
+                    options.onDrain();
+                },
+                refuseLogins: options.stopping.refuseLogins,
+            });
+            options.stopping.endRequests();
+        },
         close() {
             callers?.close();
             options.onClose();
--- a/src/proxy/login.ts
+++ b/src/proxy/login.ts
@@ -4,25 +4,28 @@
 import type * as caller from "../ports/caller.js";
 import * as access from "./access.js";
 import * as sessions from "./session.js";
+import type * as stoppingSessions from "./stoppingsession.js";
 
 /** Options of the login, and of the sessions that it opens. */
 export interface Options extends sessions.Options {
-    /** True once the host is shutting down and accepts no new sessions. */
-    refusesLogins(): boolean;
+    readonly stoppingSessions: Pick<stoppingSessions.StoppingSessions, "refusesLogins" | "wrap">;
 }
 
 /** Creates the login of one host. Refused logins are logged as `loginRefused`. */
 export function createLogin(options: Options): caller.Login {
     return {
         open(database, key) {
-            const authorised = options.refusesLogins()
+            const authorised = options.stoppingSessions.refusesLogins()
                 ? neverthrow.err(shuttingDown(database))
                 : access.authorise(options.policy(), database, key);
             if (authorised.isErr()) {
                 options.events.emit("loginRefused", { database, code: authorised.error.code });
                 return neverthrow.err(authorised.error);
             }
-            return neverthrow.ok(sessions.createSession(options, database, key));
+            return neverthrow.ok(options.stoppingSessions.wrap(
+                sessions.createSession(options, database, key),
+                database,
+            ));
         },
     };
 }
