Keep leaving hosts in the usage reports until they are silent

Cause: hosts that are leaving were left out of the others' usage reports. They shared out the whole limit, and what the leaving hosts went on admitting was deducted by nobody.

Test: proxy/usagereports, failed before with [] instead of the report.

--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -331,7 +331,7 @@
         isOfOtherCell: id => cellOf(id) !== "" && cellOf(id) !== cellOf(self.id),
         usageReports() {
             const nowMs = clock.now();
-            const cellReports = cellPeers().filter(peer => !isSuspected(peer) && !peer.member.leaving).flatMap(
+            const cellReports = cellPeers().filter(peer => !isSuspected(peer)).flatMap(
                 peer =>
                     peer.digest === undefined
                         ? []
