Forget silent hosts only by a list of the store

What callers saw: nothing was reported.

Cause: a host that isn't registered was forgotten 15 s after its last sign, also while the store was away. The others then had polled every host that they knew and relied on an outage of the store, while the forgotten one had the store again and replaced the primary.

Change: the list of registered hosts that shows that a host has gone must have been read 15 s after its last sign.

Test: proxy/refusals "are not forgotten by the others while the store is away for them", failed before with [ 'host-0 acknowledges i-1', ... ] to deeply equal []

--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -264,7 +264,7 @@
         if (isRegistered && snapshot.settled && noClockJumpSince(requestedAtMs)) {
             leadership.renewProof(requestedAtMs);
         }
-        peers().register(snapshot.hosts);
+        peers().register(snapshot.hosts, requestedAtMs);
         coordinator().observe(snapshot);
         if (snapshot.failoverLock !== undefined) {
             coldGate.observeLockHolder([snapshot.failoverLock.fencingToken, snapshot.failoverLock.holder]);
--- a/src/proxy/fleet.test.ts
+++ b/src/proxy/fleet.test.ts
@@ -138,7 +138,7 @@
         });
         (fleet.peers as gossip.Peers[]).push(peers);
         (fleet.limiters as limiters.Limiter[]).push(limiter);
-        peers.register(members);
+        peers.register(members, nowMs);
         clock.every(applyReportsIntervalMs, () => limiter.applyReports(peers.usageReports(), nowMs));
     }
     fleet.peers.forEach(peers => peers.start());
--- a/src/proxy/peers.test.ts
+++ b/src/proxy/peers.test.ts
@@ -101,7 +101,7 @@
         const peers = create(0, ["1"], network);
         peers.start();
         await delay(20);
-        peers.register([member(0), member(1)]);
+        peers.register([member(0), member(1)], performance.now());
         await delay(500);
         const repliesBefore = replyCount();
         await delay(2_200);
--- a/src/proxy/peers.ts
+++ b/src/proxy/peers.ts
@@ -39,8 +39,8 @@
 
 /** The other hosts, and calls to them. */
 export interface Peers {
-    /** Applies the list of hosts registered in the store. */
-    register(members: readonly messages.Member[]): void;
+    /** Applies the list of hosts registered in the store, as read by a request sent at that time. */
+    register(members: readonly messages.Member[], listedAtMs: number): void;
     /** Hosts that are not suspected, this one excluded. */
     live(): readonly fleets.Peer[];
     /** All known hosts, this one excluded. */
@@ -95,7 +95,10 @@
 const pollTimeoutMs = 400;
 /** Process numbers are random below this, so that two are hardly ever equal. */
 const processNumberRange = 2 ** 31;
-/** Time without a sign of an unregistered host after which it is no longer mentioned, and later removed. */
+/**
+ * Time without a sign of a host after which it is no longer mentioned, and later removed, if the store doesn't list it
+ * then. Without a list nothing shows that a silent host has gone.
+ */
 const forgetAfterMs = 15_000;
 /** Duration of a failed poll from which its channel is replaced. */
 const replaceChannelAfterMs = 400;
@@ -113,6 +116,7 @@
     const isSuspected = fleets.createFailureDetector(clock);
     let stopRounds: (() => void) | undefined;
     let pollsInFlight = new Set<string>();
+    let lastListedMs = -Infinity;
     const connectionHolders = holderLists.createHolderList(
         clock,
         () => [
@@ -175,7 +179,7 @@
      */
     function isMentioned(peer: fleets.PeerState): boolean {
         const lastSignMs = Math.max(peer.digest === undefined ? -Infinity : peer.lastHeardMs, peer.lastVouchedMs);
-        return peer.registered || clock.now() - lastSignMs <= forgetAfterMs;
+        return peer.registered || lastListedMs - lastSignMs <= forgetAfterMs;
     }
 
     function noteMention(member: messages.Member, sender: string): void {
@@ -283,9 +287,8 @@
     }
 
     function runRound(): void {
-        const nowMs = clock.now();
         for (const [id, peer] of peers) {
-            if (!peer.registered && nowMs - Math.max(peer.lastHeardMs, peer.lastMentionedMs) > forgetAfterMs) {
+            if (!peer.registered && lastListedMs - Math.max(peer.lastHeardMs, peer.lastMentionedMs) > forgetAfterMs) {
                 peer.channel?.close();
                 peers.delete(id);
                 fleet.membershipChanged();
@@ -317,7 +320,8 @@
         live,
         all: () => [...peers.values()],
         find: id => peers.get(id),
-        register(members) {
+        register(members, listedAtMs) {
+            lastListedMs = Math.max(lastListedMs, listedAtMs);
             const others = members.filter(member => member.id !== self.id);
             const ids = new Set(others.map(member => member.id));
             others.forEach(member => {
--- a/src/proxy/refusals.test.ts
+++ b/src/proxy/refusals.test.ts
@@ -81,6 +81,27 @@
         chai.expect([...violations]).to.deep.equal([]);
     });
 
+    // Guards against hosts that forget a silent one while the store, which alone tells whether it is gone, is away.
+    it("are not forgotten by the others while the store is away for them", async () => {
+        await fleet.clock.advance(5_000);
+        const cutOff = hosts.findIndex(host => host !== holder());
+        const others = hosts.filter(host => host !== cutOff);
+        fleet.cutFromStore.add(cutOff);
+        await fleet.clock.advance(4_000);
+        others.forEach(host => fleet.cutFromStore.add(host));
+        fleet.refusedByNetwork.add(cutOff);
+        await fleet.clock.advance(20_000);
+        const primary = fleet.endpoints.find(endpoint => endpoint.primary);
+        primary?.cutFrom.add(cutOff);
+        fleet.cutFromStore.delete(cutOff);
+        const violations = new Set<string>();
+        await fleet.clock.advance(8_000, () => {
+            invariants.staleAcknowledgers(fleet).forEach(text => violations.add(text));
+        });
+        chai.expect(fleet.promotions).to.have.length(1);
+        chai.expect([...violations]).to.deep.equal([]);
+    });
+
     // Guards against a holder of the failover lock that takes refused connections for a sign that its own network works.
     it("replace no primary that only they can't reach", async () => {
         await fleet.clock.advance(5_000);
--- a/src/proxy/storenews.ts
+++ b/src/proxy/storenews.ts
@@ -260,9 +260,7 @@
         }
         const hostsHash = news.hosts === undefined ? known?.hostsHash ?? "" : hashHosts(hosts);
         adopt({ era: news.era, requestedAtMs, settled, lockHolder, hosts, hostsHash, source });
-        if (news.hosts !== undefined) {
-            peers().register(hosts);
-        }
+        peers().register(hosts, requestedAtMs);
         options.coordinator().observeNews({ settled, lockHolder });
         return true;
     }
