Check again that an endpoint takes reads once a connection is free

What callers saw: nothing that was traced to it.

Cause: the endpoint of a read is chosen before the read waits for a connection. One that announced its shutdown in that time got the read.

Test: proxy/selection, failed before (the connection was handed out).

--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -105,6 +105,8 @@
     /** Chooses the endpoint for a statement; fails when no primary is known or no endpoint can serve the read. */
     place(request: PlacementRequest): Result<Placement>;
     pool(endpoint: string): pools.Pool | undefined;
+    /** True if the endpoint is shutting down and gets no new reads; a primary serves until it is replaced. */
+    isLeaving(endpoint: string): boolean;
     readonly relaying: Relaying | undefined;
     /** False once the rest of the endpoint's transactions has to be rolled back, because its failure domain is evacuated. */
     mayContinue(endpoint: string): boolean;
@@ -332,6 +334,9 @@
             });
         },
         pool: endpoint => views.get(endpoint)?.pool,
+        isLeaving: endpoint =>
+            leadership.find(name)?.primary !== endpoint
+            && options.endpoints().some(listed => listed.id === endpoint && listed.draining),
         relaying: options.relaying,
         mayContinue: endpoint => eligibility.mayContinue(endpoint),
         recordReply(endpoint, reply, requestedAtMs, context) {
--- a/src/proxy/relayservice.ts
+++ b/src/proxy/relayservice.ts
@@ -164,6 +164,10 @@
             const message = acquired?.error.message ?? "the endpoint may not be used";
             return finish(startedMs, ["declined", message, isOverloaded ? "overloaded" : "other"]);
         }
+        if (group.isLeaving(endpoint)) {
+            acquired.value.release();
+            return finish(startedMs, ["declined", "the endpoint is shutting down", "other"]);
+        }
         const pooled = options.limit(endpoint, acquired.value);
         const statement = prepare(id, command);
         const setUpMs = clock.now();
--- a/src/proxy/selection.ts
+++ b/src/proxy/selection.ts
@@ -82,5 +82,13 @@
         priority: context.route.priority,
         isAbandoned: context.isAbandoned,
     });
+    if (acquired.isOk() && context.group.isLeaving(placement.endpoint)) {
+        acquired.value.release();
+        const message =
+            `Endpoint ${placement.endpoint} began to shut down while the statement waited for a connection.`;
+        return neverthrow.err(
+            failure.create(failure.Code.endpointUnreachable, placement.endpoint, message, statements.retryAfterMs),
+        );
+    }
     return relaying === undefined ? acquired : acquired.map(pooled => relaying.limit(placement.endpoint, pooled));
 }
--- a/standins/simulatedholders.ts
+++ b/standins/simulatedholders.ts
@@ -262,6 +262,7 @@
                 return allSharings[host]?.relaying;
             },
             mayContinue: () => true,
+            isLeaving: () => false,
             isPrimary: () => fleetState.isPrimary,
             mayAcknowledge: () => fleetState.isPrimary,
             beginWork: () => () => undefined,
