--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -55,7 +55,7 @@
     assessOutage(others: readonly PeerProof[], nowMs: number): void;
     /** True while the records may be relied on: with a proof, or in an outage of the store for all hosts. */
     isTrusted(nowMs: number): boolean;
-    /** What the records are relied on for; undefined while they may not be. */
+    /** Evidence on which the records are relied on; undefined while they may not be. */
     basis(nowMs: number): "proof" | "outage" | undefined;
     /** True while the endpoint is known to be primary of the group, so that new statements may be sent to it. */
     isPrimary(group: string, endpoint: string, nowMs: number): boolean;
