Return a failure for an endpoint with an impossible port in the MySQL daemon

What callers saw: nothing was reported.

Cause: mysql2 hands the port to net.connect, which throws for one above 65,535, negative or fractional. The throw left the dialer as a rejected promise that nobody handles, so the process ended: a tracker of such an endpoint exits with code 1, at each start again. For port 0 the driver connects to 3306 instead.

Ruled out: a crash by other fields (they are text, or fail the schema).

Change: the dialer checks the port and returns "unsent".

Test: adapters/mysqlendpoint, failed before with RangeError [ERR_SOCKET_BAD_PORT]: Port should be >= 0 and < 65536

--- a/src/adapters/mysqlendpoint.ts
+++ b/src/adapters/mysqlendpoint.ts
@@ -151,10 +151,17 @@
     });
 }
 
+const maxPort = 65_535;
+const isPort = (port: number): boolean => Number.isInteger(port) && port >= 1 && port <= maxPort;
+
 /** Creates a dialer that logs in to endpoints with the given account. */
 export function createDialer(account: Account): endpoint.Dialer {
     return {
         dial(target, timeoutMs) {
+            if (!isPort(target.port)) {
+                const message = `The endpoint at ${target.host} has the invalid port ${target.port}.`;
+                return Promise.resolve(neverthrow.err({ kind: "unsent", message }));
+            }
             return new Promise(resolve => {
                 const connection = mysql.createConnection({
                     host: target.host,
