Promote a replica that stays rather than one that shuts down

Cause: a primary that shuts down was moved to the replica with the longest log among those that answered within 400 ms. Whether a replica shuts down itself counted only between equal logs.

Ruled out: late knowledge of the shutdown (every host had it by 30.4 s); reads queued for the replica (sent after the promotion).

Why this works: before one that shuts down is promoted, a replica that stays gets 800 ms to answer, or to receive what the old primary, which has stepped down, still has.

Tests: proxy/successorchoice, two failed before with expected 'i-2' to equal 'i-3'

--- a/src/proxy/successorchoice.ts
+++ b/src/proxy/successorchoice.ts
@@ -36,6 +36,7 @@
     syncReplicas(group: string): number;
     /**
      * Chooses the replica with most of the log, once it has received the old primary's whole log or the time limit is over.
+     * One that shuts down itself would soon have to be replaced, so one that stays gets until the time limit to catch up.
      * With synchronous replicas it must hold every acknowledged commit, so the wait is longer; if none does, the old primary
      * stays if its log is known. Resolves to undefined if nothing can be promoted in this attempt.
      */
@@ -55,6 +56,17 @@
 
     const syncReplicas = (group: string): number => options.storeSync.policy().groups.get(group)?.syncReplicas ?? 0;
 
+    /** True if a replica that stays may still answer, or receive what the candidate, which shuts down, already has. */
+    function isWorthWaiting(
+        candidate: promotion.Candidate | undefined,
+        successors: readonly directory.Endpoint[],
+        answered: ReadonlySet<string>,
+        canCatchUp: boolean,
+    ): boolean {
+        return candidate?.draining === true
+            && successors.some(({ id, draining }) => !draining && (canCatchUp || !answered.has(id)));
+    }
+
     async function choose(
         group: groups.Group,
         { endpoints, previous, successors, finalStatus }: Candidates,
@@ -67,11 +79,12 @@
         const replicas = endpoints.filter(endpoint => endpoint !== oldPrimary);
         const mayLead = ({ id }: directory.Endpoint): boolean => successors.has(id);
         const asked = isSynchronous ? replicas : replicas.filter(mayLead);
+        const leadable = asked.filter(mayLead);
         const patienceMs = isSynchronous && finalStatus === undefined ? logsTimeoutMs : undefined;
         for (;;) {
             const statusById = await options.prober.statuses(asked, patienceMs);
             const candidate = promotion.chooseCandidate(
-                asked.filter(mayLead).flatMap(endpoint => {
+                leadable.flatMap(endpoint => {
                     const status = statusById.get(endpoint.id);
                     return status === undefined ? [] : [{
                         endpoint: endpoint.id,
@@ -90,11 +103,13 @@
                 oldPrimary: finalStatus?.received,
                 reported: group.newestSample()?.position,
             };
-            const isLate = clock.now() - startMs >= timeoutMs;
+            const answered = new Set(statusById.keys());
+            const isWorth = isWorthWaiting(candidate, leadable, answered, finalStatus !== undefined);
+            const isLate = clock.now() - startMs >= (isWorth ? Math.max(timeoutMs, catchUpTimeoutMs) : timeoutMs);
             const isComplete = isSynchronous || finalStatus === undefined
                 || (candidate?.received.index ?? 0) >= finalStatus.received.index;
             const isChosen = candidate !== undefined && promotion.holdsAcknowledged(candidate.received, logs)
-                && (isComplete || isLate);
+                && ((isComplete && !isWorth) || isLate);
             const stays = !isChosen && isLate && isSynchronous && oldPrimary !== undefined && mayLead(oldPrimary)
                 && finalStatus !== undefined && promotion.holdsAcknowledged(finalStatus.received, logs);
             if (isChosen || isLate) {
@@ -103,6 +118,7 @@
                     chosen: stays ? previous : candidate?.endpoint,
                     syncReplicas: copies,
                     received: Object.fromEntries([...statusById].map(([id, { received }]) => [id, received])),
+                    draining: leadable.filter(({ draining }) => draining).map(({ id }) => id),
                     unanswered: asked.filter(({ id }) => !statusById.has(id)).map(({ id }) => id),
                     oldPrimary: logs.oldPrimary,
                     reported: logs.reported,
