Send nothing new to a primary whose time to drain is over

What callers saw: nothing was reported.

Cause: the rule rested on the move alone. A host knew that the primary drains, but not since when.

Why this works: an announcement is younger than the last listing without it. Each host keeps the time at which it asked for that listing, and sends nothing new to the endpoint from drainMs (the platform's bound, new in the settings) after it, less 200 ms for the way. Without such a listing, or after a suspension, the age is unknown and nothing is sent. Callers get 1105 with a time to come back, and wait for the next primary as during a replacement. Open transactions go on. "endpointDrained" says it once, with the age of the listing.

--- a/src/core/directory.test.ts
+++ b/src/core/directory.test.ts
@@ -80,4 +80,16 @@
         endpoints.replace([endpoint("a"), endpoint("b")], 5_000);
         chai.expect(endpoints.find("a")?.draining).to.equal(true);
     });
+
+    it("remembers when an endpoint that drains was last listed without that, per process", () => {
+        const endpoints = directory.createDirectory(options);
+        endpoints.replace([endpoint("a")], 0);
+        endpoints.replace([endpoint("a"), { ...endpoint("b"), draining: true }], 1_000);
+        endpoints.replace([{ ...endpoint("a"), draining: true }, { ...endpoint("b"), draining: true }], 2_000);
+        chai.expect([endpoints.servingAtMs("a"), endpoints.servingAtMs("b")]).to.deep.equal([1_000, undefined]);
+        endpoints.replace([], 3_000);
+        chai.expect(endpoints.servingAtMs("a"), "while the entry is missing").to.equal(1_000);
+        endpoints.replace([{ ...endpoint("a"), draining: true, born: 2 }], 4_000);
+        chai.expect(endpoints.servingAtMs("a"), "of a new process").to.equal(undefined);
+    });
 });
--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -36,6 +36,8 @@
      */
     storeRestored(nowMs: number): void;
     find(id: string): Endpoint | undefined;
+    /** Request time of the last listing in which the endpoint's process did not drain; undefined if there was none. */
+    servingAtMs(id: string): number | undefined;
     inGroup(group: string): readonly Endpoint[];
     all(): readonly Endpoint[];
 }
@@ -57,6 +59,8 @@
     readonly endpoint: Endpoint;
     /** When the entry first went missing, or the end of a later outage; undefined while it is listed. */
     readonly missingSinceMs: number | undefined;
+    /** Request time of the last listing in which the process did not drain. */
+    readonly servingAtMs: number | undefined;
 }
 
 /** The newer of two reports under the same id. An endpoint that drains doesn't stop draining while its process lives. */
@@ -98,7 +102,10 @@
                 listed.map(endpoint => {
                     const known = entries.get(endpoint.id)?.endpoint ?? departed.get(endpoint.id)?.endpoint;
                     const current = requestedAtMs < mayGoBackUntilMs ? newerReport(known, endpoint) : endpoint;
-                    return [endpoint.id, { endpoint: current, missingSinceMs: undefined }];
+                    const previous = entries.get(endpoint.id);
+                    const servedBeforeMs = previous?.endpoint.born === current.born ? previous.servingAtMs : undefined;
+                    const servingAtMs = current.draining ? servedBeforeMs : requestedAtMs;
+                    return [endpoint.id, { endpoint: current, missingSinceMs: undefined, servingAtMs }];
                 }),
             );
             departed.forEach((entry, id) => {
@@ -112,7 +119,7 @@
                 }
                 const missingSinceMs = afterOutage ? requestedAtMs : entry.missingSinceMs ?? requestedAtMs;
                 if (requestedAtMs - missingSinceMs < options.missingGraceMs) {
-                    next.set(id, { endpoint: entry.endpoint, missingSinceMs });
+                    next.set(id, { ...entry, missingSinceMs });
                 }
                 else {
                     departed.set(id, { endpoint: entry.endpoint, atMs: requestedAtMs });
@@ -132,6 +139,7 @@
             return changed;
         },
         find: id => entries.get(id)?.endpoint,
+        servingAtMs: id => entries.get(id)?.servingAtMs,
         inGroup: group => endpointsByGroup.get(group) ?? [],
         all: () => endpoints,
     };
--- a/src/proxy/clusterview.ts
+++ b/src/proxy/clusterview.ts
@@ -16,6 +16,7 @@
 import * as configurationTransfer from "./configurationtransfer.js";
 import type * as connectionSharing from "./connectionsharing.js";
 import type * as coordinators from "./coordinator.js";
+import * as drainBounds from "./drainbound.js";
 import type * as endpoints from "./endpoint.js";
 import type * as endpointChoices from "./endpointchoice.js";
 import * as endpointTransfer from "./endpointtransfer.js";
@@ -33,6 +34,8 @@
 /** Settings and collaborators of the view. Those that depend on the view in turn are given as functions. */
 export interface Options {
     readonly failureDomain: string;
+    /** Time from the announcement of an endpoint's shutdown until it may be sent nothing new; undefined without a bound. */
+    readonly drainMs?: number | undefined;
     /** Region of each failure domain. */
     readonly regionByFailureDomain: Readonly<Record<string, string>>;
     readonly clock: runtime.HostClock;
@@ -174,6 +177,7 @@
     }
 
     const noClockJumpSince = (sinceMs: number): boolean => sinceMs > lastClockJumpMs;
+    const drainBound = drainBounds.createDrainBound({ ...options, drainMs: options.drainMs, noClockJumpSince });
 
     function group(name: string): databaseGroups.Group {
         const existing = groups.get(name);
@@ -189,6 +193,7 @@
             events,
             leadership,
             noClockJumpSince,
+            isDrained: drainBound.isDrained,
             regionOf: domain => options.regionByFailureDomain[domain],
             weight,
             share: endpoint => shareOf(name, endpoint),
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -40,6 +40,7 @@
     catalogueMissed: { ...problem, message: "Fetching the configuration and endpoints from another host failed." },
     peerRegained: { ...stateChange, message: "A host responds." },
     endpointLost: { ...problem, message: "An endpoint does not respond." },
+    endpointDrained: { ...stateChange, message: "An endpoint that shuts down may be sent nothing new any longer." },
     endpointsCold: { ...stateChange, message: "Endpoints have started and get few requests until they are warm." },
     endpointFull: { ...stateChange, message: "A cold endpoint has no room for this host's requests." },
     permitMissed: { ...problem, message: "Permits for a cold endpoint could not be asked for." },
--- a/src/proxy/group.ts
+++ b/src/proxy/group.ts
@@ -38,6 +38,8 @@
     readonly leadership: leadership.Leadership;
     /** True when no clock jump or suspension of this host was detected since the given time. */
     noClockJumpSince(sinceMs: number): boolean;
+    /** True once an endpoint that shuts down may be sent nothing new, not even as primary. */
+    isDrained(endpoint: string): boolean;
     /** Region of a failure domain; undefined when it isn't configured. */
     regionOf(failureDomain: string): string | undefined;
     /** Relative weight of an organisation among those whose statements wait, above 0. */
@@ -105,7 +107,7 @@
     /** Chooses the endpoint for a statement; fails when no primary is known or no endpoint can serve the read. */
     place(request: PlacementRequest): Result<Placement>;
     pool(endpoint: string): pools.Pool | undefined;
-    /** True if the endpoint is shutting down and gets no new reads; a primary serves until it is replaced. */
+    /** True if the endpoint is shutting down and gets nothing new; a primary serves until it is replaced or its time is over. */
     isLeaving(endpoint: string): boolean;
     readonly relaying: Relaying | undefined;
     /** False once the rest of the endpoint's transactions has to be rolled back, because its failure domain is evacuated. */
@@ -193,7 +195,7 @@
         findView: endpoint => views.get(endpoint),
         distanceTo: failureDomain => distanceTo(failureDomain),
         isRationed: listed => eligibility.isRationed(listed),
-        isPrimary: endpoint => leadership.find(name)?.primary === endpoint,
+        isPrimary: endpoint => leadership.find(name)?.primary === endpoint && !options.isDrained(endpoint),
     });
 
     /** Returns the view of a listed endpoint; creates a new one if the endpoint's address or process changed. */
@@ -232,7 +234,8 @@
 
     function hasPrimary(): boolean {
         const record = leadership.find(name);
-        return record !== undefined && !record.changing && leadership.isTrusted(clock.now());
+        return record !== undefined && !record.changing && leadership.isTrusted(clock.now())
+            && !options.isDrained(record.primary);
     }
 
     function noPrimary(): failure.Failure {
@@ -241,6 +244,8 @@
             ? "is not known yet"
             : record.changing
             ? "is being replaced"
+            : options.isDrained(record.primary)
+            ? "is shutting down and isn't replaced yet"
             : "can't be confirmed at the moment";
         return failure.create(failure.Code.noPrimary, name, `The primary of ${name} ${state}.`, retryAfterMs);
     }
@@ -335,8 +340,9 @@
         },
         pool: endpoint => views.get(endpoint)?.pool,
         isLeaving: endpoint =>
-            leadership.find(name)?.primary !== endpoint
-            && options.endpoints().some(listed => listed.id === endpoint && listed.draining),
+            options.isDrained(endpoint)
+            || (leadership.find(name)?.primary !== endpoint
+                && options.endpoints().some(listed => listed.id === endpoint && listed.draining)),
         relaying: options.relaying,
         mayContinue: endpoint => eligibility.mayContinue(endpoint),
         recordReply(endpoint, reply, requestedAtMs, context) {
--- a/src/proxy/settings.ts
+++ b/src/proxy/settings.ts
@@ -61,6 +61,11 @@
     coldSlack: z.number().min(0).default(0),
     /** Time from a shutdown request to the end of the process, in milliseconds. */
     graceMs: z.number().min(100).default(6_000),
+    /**
+     * Time from the announcement of an endpoint's shutdown until it may be sent nothing new, in milliseconds; absent on a
+     * platform without such a bound.
+     */
+    drainMs: z.number().min(0).optional(),
     /**
      * Time from the request to evacuate a failure domain to the moment from which its endpoints may be sent nothing, in
      * milliseconds; absent on a platform without evacuations.
--- a/standins/groups/world.ts
+++ b/standins/groups/world.ts
@@ -37,6 +37,8 @@
     readonly endpointDomains?: readonly string[];
     /** Region of each failure domain; a single one unless given. The hosts are in the first two domains by turns. */
     readonly regions?: Readonly<Record<string, string>>;
+    /** Bound on new work for endpoints that shut down; the platform has none unless given. */
+    readonly drainMs?: number;
     /** Bound of evacuations; the platform has none unless given. */
     readonly evacuateMs?: number;
     /** Connections that hosts hold for each other; none unless given. */
@@ -220,6 +222,7 @@
             metricsPort: 0,
             graceMs: 1_500,
             ...(options.connectionHolders === undefined ? {} : { connectionHolders: options.connectionHolders }),
+            ...(options.drainMs === undefined ? {} : { drainMs: options.drainMs }),
             ...(options.evacuateMs === undefined ? {} : { evacuateMs: options.evacuateMs }),
             ...options.cold === undefined
                 ? {}
