--- a/src/proxy/successorchoice.ts
+++ b/src/proxy/successorchoice.ts
@@ -57,7 +57,7 @@
     const syncReplicas = (group: string): number => options.storeSync.policy().groups.get(group)?.syncReplicas ?? 0;
 
     /** True if a replica that stays may still answer, or receive what the candidate, which shuts down, already has. */
-    function isWorthWaiting(
+    function mayOvertake(
         candidate: promotion.Candidate | undefined,
         successors: readonly directory.Endpoint[],
         answered: ReadonlySet<string>,
@@ -79,12 +79,12 @@
         const replicas = endpoints.filter(endpoint => endpoint !== oldPrimary);
         const mayLead = ({ id }: directory.Endpoint): boolean => successors.has(id);
         const asked = isSynchronous ? replicas : replicas.filter(mayLead);
-        const leadable = asked.filter(mayLead);
+        const eligible = asked.filter(mayLead);
         const patienceMs = isSynchronous && finalStatus === undefined ? logsTimeoutMs : undefined;
         for (;;) {
             const statusById = await options.prober.statuses(asked, patienceMs);
             const candidate = promotion.chooseCandidate(
-                leadable.flatMap(endpoint => {
+                eligible.flatMap(endpoint => {
                     const status = statusById.get(endpoint.id);
                     return status === undefined ? [] : [{
                         endpoint: endpoint.id,
@@ -104,12 +104,12 @@
                 reported: group.newestSample()?.position,
             };
             const answered = new Set(statusById.keys());
-            const isWorth = isWorthWaiting(candidate, leadable, answered, finalStatus !== undefined);
-            const isLate = clock.now() - startMs >= (isWorth ? Math.max(timeoutMs, catchUpTimeoutMs) : timeoutMs);
+            const waitsForOther = mayOvertake(candidate, eligible, answered, finalStatus !== undefined);
+            const isLate = clock.now() - startMs >= (waitsForOther ? Math.max(timeoutMs, catchUpTimeoutMs) : timeoutMs);
             const isComplete = isSynchronous || finalStatus === undefined
                 || (candidate?.received.index ?? 0) >= finalStatus.received.index;
             const isChosen = candidate !== undefined && promotion.holdsAcknowledged(candidate.received, logs)
-                && ((isComplete && !isWorth) || isLate);
+                && ((isComplete && !waitsForOther) || isLate);
             const stays = !isChosen && isLate && isSynchronous && oldPrimary !== undefined && mayLead(oldPrimary)
                 && finalStatus !== undefined && promotion.holdsAcknowledged(finalStatus.received, logs);
             if (isChosen || isLate) {
@@ -118,7 +118,7 @@
                     chosen: stays ? previous : candidate?.endpoint,
                     syncReplicas: copies,
                     received: Object.fromEntries([...statusById].map(([id, { received }]) => [id, received])),
-                    draining: leadable.filter(({ draining }) => draining).map(({ id }) => id),
+                    draining: eligible.filter(({ draining }) => draining).map(({ id }) => id),
                     unanswered: asked.filter(({ id }) => !statusById.has(id)).map(({ id }) => id),
                     oldPrimary: logs.oldPrimary,
                     reported: logs.reported,
