--- a/review/harness-2/client.cjs
+++ b/review/harness-2/client.cjs
@@ -5,8 +5,11 @@
 
 let requests = 0;
 
+/** Longest part of a text that is recorded. */
+const recordedLength = 60;
+
 /** Opens a session; resolves to it, or to undefined if the proxy refused it or could not be reached. */
-function connect({ host, port, database, key }) {
+function connect({ host, port, database, key, note }) {
     return new Promise(resolve => {
         const socket = net.connect({ host, port, noDelay: true });
         let lines = [];
@@ -49,7 +52,12 @@
                 if (!open) {
                     return Promise.resolve({ id, outcome: "closed", rows: 0 });
                 }
-                return new Promise(done => {
+                note(`sent ${id} ${text.slice(0, recordedLength)}`);
+                return new Promise(settled => {
+                    const done = answer => {
+                        note(`answered ${id} ${answer.outcome}${answer.row === undefined ? "" : " with rows"}`);
+                        settled(answer);
+                    };
                     const timer = setTimeout(() => {
                         settle = undefined;
                         socket.destroy();
--- a/review/harness-2/world.cjs
+++ b/review/harness-2/world.cjs
@@ -21,6 +21,8 @@
 const memoryMegabytes = 350;
 const zones = { "cluj-a": "ro-nord", "buc-a": "ro-sud", "cluj-b": "ro-nord" };
 const service = "kit-ledger";
+/** Longest part of a text that is recorded. */
+const recordedLength = 60;
 
 const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -65,7 +67,11 @@
 async function start({ folder, hosts, tenants, rowsOf, routes = {}, workMs = 5, lagMs = 60, syncReplicas = 0, firstPrimary = 0 }) {
     const startedMs = performance.now();
     const record = fs.createWriteStream(path.join(folder, "record.txt"));
-    const note = text => record.write(`${((performance.now() - startedMs) / 1_000).toFixed(3)} ${text}\n`);
+    const note = text => {
+        if (record.writable) {
+            record.write(`${((performance.now() - startedMs) / 1_000).toFixed(3)} ${text}\n`);
+        }
+    };
     const temporary = fs.mkdtempSync(path.join(os.tmpdir(), "case-"));
     // Each machine has an address of its own, as the metrics' port is the same on all of them.
     const net24 = `127.${20 + process.pid % 200}.${Math.floor(process.pid / 200) % 250}`;
@@ -119,7 +125,10 @@
                 lagMs,
                 syncReplicas,
                 rowsOf,
-                onRun: run => void runs.push(run),
+                onRun(run) {
+                    runs.push(run);
+                    note(`run ${run.id} at ${run.instance} for ${run.tenant}: ${run.text.slice(0, recordedLength)}`);
+                },
             }),
         );
     }
@@ -286,7 +295,7 @@
             return machines.find(machine => machine.id === holder);
         },
         connect: (machine, database, key) =>
-            clients.connect({ host: machines[machine].ip, port: machines[machine].ports.front, database, key }),
+            clients.connect({ host: machines[machine].ip, port: machines[machine].ports.front, database, key, note }),
         configure(change) {
             configuration = { ...configuration, ...change, version: configuration.version + 3 };
             store.put("op/config", configuration);
@@ -323,6 +332,9 @@
         void Promise.resolve(world?.close()).then(() => process.exit(2));
     }, 115_000);
     let verdict = 2;
+    ["SIGTERM", "SIGINT"].forEach(signal =>
+        process.once(signal, () => void Promise.resolve(world?.close()).then(() => process.exit(2)))
+    );
     try {
         world = await start({ folder, ...options });
         verdict = await world.ready() ? await body(world, trouble) : 2;
