--- a/review/harness-3/world.mjs
+++ b/review/harness-3/world.mjs
@@ -57,7 +57,7 @@
 }
 
 /** Options: `hosts`, `services` (names; one of three instances each), `note`, `tenants`, `limits`. */
-export async function createWorld({ hosts: hostCount, note, tenants, routes, limits, primaryZone, holdInstances }) {
+export async function createWorld({ hosts: hostCount, note, tenants, routes, limits, primaryZone, workMs = 5, holdInstances }) {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hyssophatch-review-"));
     const net24 = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
     const port = { front: 8_465, ready: 8_460, control: 8_462, store: 8_466, cloud: 8_467, instance: 8_080 };
@@ -101,7 +101,7 @@
             port: port.instance,
             zone: zoneNames[number],
             maxConnections: 16,
-            workMs: 5,
+            workMs,
             lagMs: 60,
             note,
             onChange: () => beat(instance),
